--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Every target sets up its own environment in .venv from the locked versions.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test bench faults lint format wire clean
+
+$(VENV)/ready: requirements.lock pyproject.toml
+	command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(VENV)/ready
+
+demo: $(VENV)/ready
+	$(BIN)/caroblead demo --settings examples/anatolia.json
+
+test: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+bench: $(VENV)/ready
+	$(BIN)/python -m caroblead.bench
+
+faults: $(VENV)/ready
+	$(BIN)/python -m caroblead.bench.faults
+
+lint: $(VENV)/ready
+	$(BIN)/black --check --quiet caroblead
+	$(BIN)/ruff check --quiet caroblead
+
+format: $(VENV)/ready
+	$(BIN)/black --quiet caroblead
+	$(BIN)/ruff check --quiet --fix caroblead
+
+wire:
+	mkdir -p build/wire
+	thrift --gen py:slots -out build/wire caroblead/wire/messages.thrift
+	cp build/wire/messages/ttypes.py caroblead/wire/gen/ttypes.py
--- /dev/null
+++ b/caroblead/core/__init__.py
@@ -0,0 +1,1 @@
+"""Data types, outcomes and time, shared by every other package."""
--- /dev/null
+++ b/caroblead/core/resource.py
@@ -0,0 +1,84 @@
+"""Amounts of what a VM offers and a task needs.
+
+All amounts are integers, so that sums never drift: processors in thousandths of a core, memory in
+mebibytes, accelerators, slots and connections in whole pieces.
+"""
+
+from dataclasses import dataclass
+
+MILLICORES_PER_CORE = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Resources:
+    """An amount of each resource.
+
+    For example ``Resources(2000, 4096)`` is two cores and four gibibytes.
+    """
+
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+
+NOTHING = Resources()
+
+
+def add(left: Resources, right: Resources) -> Resources:
+    """Returns the sum of two amounts."""
+    return Resources(
+        left.millicores + right.millicores,
+        left.memory_mb + right.memory_mb,
+        left.accelerators + right.accelerators,
+        left.slots + right.slots,
+    )
+
+
+def subtract(left: Resources, right: Resources) -> Resources:
+    """Returns what is left of an amount; a part may come out negative."""
+    return Resources(
+        left.millicores - right.millicores,
+        left.memory_mb - right.memory_mb,
+        left.accelerators - right.accelerators,
+        left.slots - right.slots,
+    )
+
+
+def multiply(amount: Resources, count: int) -> Resources:
+    """Returns the amount that ``count`` equal tasks need together."""
+    return Resources(
+        amount.millicores * count,
+        amount.memory_mb * count,
+        amount.accelerators * count,
+        amount.slots * count,
+    )
+
+
+def fits(need: Resources, free: Resources) -> bool:
+    """Returns whether the need is covered in every resource."""
+    return (
+        need.millicores <= free.millicores
+        and need.memory_mb <= free.memory_mb
+        and need.accelerators <= free.accelerators
+        and need.slots <= free.slots
+    )
+
+
+def compute_dominant_share(need: Resources, capacity: Resources) -> float:
+    """Returns the largest fraction that the need takes of any one resource.
+
+    A resource that the capacity does not have at all counts only when it is needed, and then as the
+    whole: ``compute_dominant_share(Resources(1000), Resources(4000))`` is 0.25.
+    """
+    share = 0.0
+    if need.millicores:
+        share = need.millicores / capacity.millicores if capacity.millicores else 1.0
+    if need.memory_mb:
+        share = max(share, need.memory_mb / capacity.memory_mb if capacity.memory_mb else 1.0)
+    if need.accelerators:
+        part = need.accelerators / capacity.accelerators if capacity.accelerators else 1.0
+        share = max(share, part)
+    if need.slots:
+        share = max(share, need.slots / capacity.slots if capacity.slots else 1.0)
+    return share
--- /dev/null
+++ b/caroblead/core/timer.py
@@ -0,0 +1,109 @@
+"""The timer service that the parts of a process subscribe to.
+
+A part asks for a call at an interval and gets a handle back. All time comes from the event loop, so
+that a test can run the same code under the virtual time of :mod:`caroblead.core.loop`.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import eliot
+
+JITTER_FRACTION = 0.1
+
+
+class Timer:
+    """One subscription: a callback and the interval at which it is called."""
+
+    __slots__ = ("callback", "interval_s", "handle", "task", "stopped")
+
+    def __init__(self, callback: Callable, interval_s: float):
+        self.callback = callback
+        self.interval_s = interval_s
+        self.handle = None
+        self.task = None
+        self.stopped = False
+
+
+class TimerService:
+    """Calls its subscribers at their intervals, with a little jitter.
+
+    The jitter comes from a seeded generator and keeps processes that were started together from
+    calling the platform together.
+    """
+
+    __slots__ = ("loop", "random", "timers")
+
+    def __init__(self, seed: int = 0):
+        self.loop = asyncio.get_running_loop()
+        self.random = random.Random(seed)
+        self.timers: list[Timer] = []
+
+    def get_time(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return self.loop.time()
+
+    def subscribe(self, interval_s: float, callback: Callable, soon: bool = False) -> Timer:
+        """Calls a function or coroutine function every ``interval_s`` seconds.
+
+        A coroutine that is still running when its next turn comes is left alone for that turn.
+        """
+        timer = Timer(callback, interval_s)
+        self.timers.append(timer)
+        self._arm(timer, 0.0 if soon else self._spread(interval_s))
+        return timer
+
+    def _spread(self, interval_s: float) -> float:
+        return interval_s * (1.0 + JITTER_FRACTION * (self.random.random() - 0.5))
+
+    def _arm(self, timer: Timer, delay_s: float):
+        timer.handle = self.loop.call_later(delay_s, self._fire, timer)
+
+    def _fire(self, timer: Timer):
+        if timer.stopped:
+            return
+        if timer.task is None or timer.task.done():
+            if asyncio.iscoroutinefunction(timer.callback):
+                timer.task = self.loop.create_task(guard(timer.callback()))
+            else:
+                run_guarded(timer.callback)
+        self._arm(timer, self._spread(timer.interval_s))
+
+    def unsubscribe(self, timer: Timer):
+        """Ends a subscription."""
+        timer.stopped = True
+        if timer.handle:
+            timer.handle.cancel()
+        if timer.task and not timer.task.done():
+            timer.task.cancel()
+        if timer in self.timers:
+            self.timers.remove(timer)
+
+    def close(self):
+        """Ends every subscription."""
+        for timer in list(self.timers):
+            self.unsubscribe(timer)
+
+
+def run_guarded(callback: Callable):
+    """Calls a function and logs what it raises, so that a timer never ends by accident."""
+    try:
+        callback()
+    except Exception:
+        eliot.write_traceback()
+
+
+async def guard(awaitable):
+    """Awaits a background task and logs what it raises.
+
+    Nobody awaits such a task, so without this an error would be seen only when the task is
+    collected.
+    """
+    try:
+        return await awaitable
+    except asyncio.CancelledError:
+        raise
+    except Exception:
+        eliot.write_traceback()
+        return None
--- /dev/null
+++ b/caroblead/events/checker.py
@@ -0,0 +1,380 @@
+"""The history checker: proves or refutes the ten promises from a merged history.
+
+Each promise is a function from the ordered records to the violations found. What truly ran is taken
+from the events of the platform's VMs, never from what our own processes believe. For example a
+request that was answered with ``not_run`` must have no ``WorkStarted`` event anywhere, at any time.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .event import (
+    AnswerReceived,
+    AnswerSent,
+    DrainStarted,
+    LinksCut,
+    LinksHealed,
+    ProcessKilled,
+    ProcessStarted,
+    ProcessStopped,
+    RequestAccepted,
+    TicketAccepted,
+    TicketInForce,
+    VmFailed,
+    VmLeaving,
+    VmListed,
+    WorkEnded,
+    WorkStarted,
+)
+from .timeline import Record
+
+# Within this time a withdrawn key must have stopped working.
+KEY_WITHDRAWN_S = 5.0
+# Within this time a leaving VM must get nothing new.
+LEAVING_S = 5.0
+# Within this time an accepted ticket must be in force at every process that can be reached.
+IN_FORCE_S = 14.0
+
+
+@dataclass(slots=True, frozen=True)
+class Violation:
+    """A promise that the history refutes, with the records that show it."""
+
+    promise: str
+    detail: str
+    records: tuple[Record, ...]
+
+
+History = list[Record]
+
+
+def check_capacity(history: History) -> list[Violation]:
+    """No VM is ever given more work than it can hold."""
+    capacity, running, used, found = {}, {}, defaultdict(lambda: [0, 0, 0, 0]), []
+    for record in history:
+        event = record.event
+        if isinstance(event, VmListed):
+            capacity[event.vm] = _measure(event)
+        elif isinstance(event, WorkStarted):
+            running[event.task, event.vm] = _measure(event)
+            _change(used[event.vm], _measure(event), 1)
+            limits = capacity.get(event.vm)
+            if limits is None or any(
+                have > most for have, most in zip(used[event.vm], limits, strict=True)
+            ):
+                detail = f"{event.vm} holds {used[event.vm]} of {limits}"
+                found.append(Violation("capacity", detail, (record,)))
+        elif isinstance(event, WorkEnded):
+            amount = running.pop((event.task, event.vm), None)
+            if amount:
+                _change(used[event.vm], amount, -1)
+        elif isinstance(event, VmFailed):
+            used[event.vm] = [0, 0, 0, 0]
+            for place in [place for place in running if place[1] == event.vm]:
+                del running[place]
+    return found
+
+
+def _measure(event) -> tuple[int, int, int, int]:
+    return (event.millicores, event.memory_mb, event.accelerators, event.slots)
+
+
+def _change(totals: list[int], amount: tuple, sign: int):
+    for index, value in enumerate(amount):
+        totals[index] += sign * value
+
+
+def check_single_place(history: History) -> list[Violation]:
+    """No task ever runs in two places."""
+    places, found = {}, []
+    for record in history:
+        event = record.event
+        if isinstance(event, WorkStarted):
+            if event.task in places:
+                first = places[event.task]
+                detail = f"{event.task} runs on {first.event.vm} and on {event.vm}"
+                found.append(Violation("single_place", detail, (first, record)))
+            places[event.task] = record
+        elif isinstance(event, WorkEnded):
+            if event.task in places and places[event.task].event.vm == event.vm:
+                del places[event.task]
+        elif isinstance(event, VmFailed):
+            for task in [t for t, first in places.items() if first.event.vm == event.vm]:
+                del places[task]
+    return found
+
+
+def check_keys(history: History) -> list[Violation]:
+    """Work is accepted only for the key's team, and a withdrawn key stops within seconds."""
+    withdrawn, found = {}, []
+    for record in sorted(history, key=lambda record: record.at_s):
+        event = record.event
+        if isinstance(event, TicketAccepted):
+            for key in filter(None, event.withdrawn_keys.split(",")):
+                withdrawn.setdefault(key, record)
+        elif isinstance(event, RequestAccepted) and not event.open:
+            if not event.key or event.key_team != event.team:
+                detail = f"{event.request} of team {event.team} came with a key of {event.key_team}"
+                found.append(Violation("keys", detail, (record,)))
+            first = withdrawn.get(event.key)
+            if first is not None and record.at_s > first.at_s + KEY_WITHDRAWN_S:
+                late = record.at_s - first.at_s
+                detail = f"key {event.key} worked {late:.1f} s after its withdrawal"
+                found.append(Violation("keys", detail, (first, record)))
+    return found
+
+
+def read_limits(event: TicketAccepted) -> dict[str, int]:
+    """Reads the limits that a ticket set, written as ``team=number`` with commas between."""
+    pairs = (pair.split("=") for pair in event.limits.split(",") if pair)
+    return {team: int(limit) for team, limit in pairs}
+
+
+def check_limits(history: History) -> list[Violation]:
+    """No team has more running than its upper limit.
+
+    A lowered limit stops new work from when it is in force; what ran before may finish. So a start
+    counts against the limit before it too, until the time for coming into force has passed.
+    """
+    limits: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    running, count, found = {}, Counter(), []
+    for record in history:
+        event = record.event
+        if isinstance(event, TicketAccepted):
+            for team, limit in read_limits(event).items():
+                limits[team].append((record.at_s, limit))
+        elif isinstance(event, WorkStarted):
+            running[event.task, event.vm] = event.team
+            count[event.team] += 1
+            most = _find_limit(limits[event.team], record.at_s)
+            if count[event.team] > most:
+                detail = f"team {event.team} runs {count[event.team]} of {most}"
+                found.append(Violation("limits", detail, (record,)))
+        elif isinstance(event, WorkEnded):
+            team = running.pop((event.task, event.vm), None)
+            count[team] -= team is not None
+        elif isinstance(event, VmFailed):
+            for place in [place for place in running if place[1] == event.vm]:
+                count[running.pop(place)] -= 1
+    return found
+
+
+def _find_limit(changes: list[tuple[float, int]], at_s: float) -> int:
+    best = 0
+    for index, (_, limit) in enumerate(changes):
+        last = index + 1 == len(changes)
+        if last or changes[index + 1][0] + IN_FORCE_S >= at_s:
+            best = max(best, limit)
+    return best
+
+
+def check_answers(history: History) -> list[Violation]:
+    """Every caller gets the whole answer to its own request."""
+    bodies, sent, accepted, found = defaultdict(set), {}, {}, []
+    for record in history:
+        event = record.event
+        if isinstance(event, RequestAccepted):
+            accepted[event.request] = record
+        elif isinstance(event, WorkEnded) and event.body:
+            bodies[event.task].add(event.body)
+    for record in history:
+        event = record.event
+        if isinstance(event, AnswerSent):
+            if event.request in sent:
+                detail = f"{event.request} was answered twice"
+                found.append(Violation("answers", detail, (sent[event.request], record)))
+            sent[event.request] = record
+            if event.outcome == "answered" and event.body not in bodies[event.request]:
+                detail = f"{event.request} got an answer that no VM made for it"
+                found.append(Violation("answers", detail, (record,)))
+        elif isinstance(event, AnswerReceived):
+            found.extend(_check_received(record, accepted, bodies))
+    return found
+
+
+def _check_received(record: Record, accepted: dict, bodies: dict) -> list[Violation]:
+    event = record.event
+    first = accepted.get(event.request)
+    if first is None:
+        return []
+    if first.event.payload != event.payload:
+        detail = f"the caller of {event.request} got the answer of another request"
+        return [Violation("answers", detail, (first, record))]
+    if event.outcome == "answered" and event.body not in bodies[event.request]:
+        detail = f"the caller of {event.request} got an answer that is not whole"
+        return [Violation("answers", detail, (first, record))]
+    return []
+
+
+def check_not_run(history: History) -> list[Violation]:
+    """When the system says a request did not run, it truly did not run."""
+    started = {}
+    for record in history:
+        if isinstance(record.event, WorkStarted):
+            started.setdefault(record.event.task, record)
+    found = []
+    for record in history:
+        event = record.event
+        if isinstance(event, AnswerSent | AnswerReceived) and event.outcome == "not_run":
+            if event.request in started:
+                detail = f"{event.request} was reported as not run, but it had started"
+                found.append(Violation("not_run", detail, (started[event.request], record)))
+    return found
+
+
+def check_once(history: History) -> list[Violation]:
+    """Work that may not be repeated starts at most once."""
+    first, found = {}, []
+    for record in history:
+        event = record.event
+        if isinstance(event, WorkStarted) and not event.repeatable:
+            if event.task in first:
+                detail = f"{event.task} may not be repeated and started again"
+                found.append(Violation("once", detail, (first[event.task], record)))
+            first.setdefault(event.task, record)
+    return found
+
+
+def check_leaving(history: History) -> list[Violation]:
+    """A leaving VM gets no new work after a few seconds."""
+    leaving, found = {}, []
+    for record in sorted(history, key=lambda record: record.at_s):
+        event = record.event
+        if isinstance(event, VmLeaving):
+            leaving.setdefault(event.vm, record)
+        elif isinstance(event, VmListed):
+            leaving.pop(event.vm, None)
+        elif isinstance(event, WorkStarted) and event.vm in leaving:
+            first = leaving[event.vm]
+            if record.at_s > first.at_s + LEAVING_S:
+                detail = f"{event.task} started {record.at_s - first.at_s:.1f} s after the notice"
+                found.append(Violation("leaving", detail, (first, record)))
+    return found
+
+
+def check_graceful(history: History) -> list[Violation]:
+    """A planned stop cuts off no request in flight."""
+    found, accepted, answered = [], {}, set()
+    for record in sorted(history, key=lambda record: (record.node, record.sequence)):
+        event = record.event
+        if isinstance(event, RequestAccepted):
+            accepted[event.request] = record
+        elif isinstance(event, AnswerSent):
+            answered.add(event.request)
+        elif isinstance(event, ProcessStopped):
+            if event.in_flight:
+                detail = f"{event.program} stopped with {event.in_flight} requests in flight"
+                found.append(Violation("graceful", detail, (record,)))
+            for request, first in accepted.items():
+                if first.node == record.node and request not in answered:
+                    detail = f"{request} never got an answer from the stopped {event.program}"
+                    found.append(Violation("graceful", detail, (first, record)))
+    return found
+
+
+def check_configuration(history: History) -> list[Violation]:
+    """An accepted configuration is in force everywhere in time and never reverts."""
+    return _check_reverts(history) + _check_in_force(history)
+
+
+def _check_reverts(history: History) -> list[Violation]:
+    latest, found = {}, []
+    for record in sorted(history, key=lambda record: (record.node, record.sequence)):
+        event = record.event
+        if isinstance(event, ProcessStarted):
+            latest.pop(record.node, None)
+        elif isinstance(event, TicketInForce):
+            before = latest.get(record.node)
+            if before is not None and event.ticket < before.event.ticket:
+                detail = f"{record.node} went back from {before.event.ticket} to {event.ticket}"
+                found.append(Violation("configuration", detail, (before, record)))
+            latest[record.node] = record
+    return found
+
+
+def _check_in_force(history: History) -> list[Violation]:
+    ordered = sorted(history, key=lambda record: record.at_s)
+    end_s = ordered[-1].at_s if ordered else 0.0
+    lives = _find_lives(ordered)
+    cuts = _find_cuts(ordered, end_s)
+    in_force = defaultdict(list)
+    for record in ordered:
+        if isinstance(record.event, TicketInForce):
+            in_force[record.node].append(record)
+    found = []
+    for record in ordered:
+        if not isinstance(record.event, TicketAccepted):
+            continue
+        for node, start_s, stop_s in lives:
+            due_s = max(record.at_s, start_s) + IN_FORCE_S
+            due_s = _extend_past_cuts(due_s, record.at_s, cuts[node.split("/")[0]])
+            if stop_s < due_s or end_s < due_s:
+                continue
+            heard = [
+                r
+                for r in in_force[node]
+                if start_s <= r.at_s <= due_s and r.event.ticket >= record.event.ticket
+            ]
+            if not heard:
+                detail = f"ticket {record.event.ticket} was not in force at {node} in time"
+                found.append(Violation("configuration", detail, (record,)))
+    return found
+
+
+def _find_lives(ordered: History) -> list[tuple[str, float, float]]:
+    started, lives = {}, []
+    for record in ordered:
+        event = record.event
+        if isinstance(event, ProcessStarted):
+            started[record.node] = record.at_s
+        elif isinstance(event, DrainStarted) and record.node in started:
+            lives.append((record.node, started.pop(record.node), record.at_s))
+        elif isinstance(event, ProcessKilled) and event.killed in started:
+            lives.append((event.killed, started.pop(event.killed), record.at_s))
+    return lives + [(node, start_s, float("inf")) for node, start_s in started.items()]
+
+
+def _find_cuts(ordered: History, end_s: float) -> dict[str, list[tuple[float, float]]]:
+    open_cuts, cuts = {}, defaultdict(list)
+    for record in ordered:
+        event = record.event
+        if isinstance(event, LinksCut):
+            for node in event.nodes.split(","):
+                open_cuts.setdefault(node, record.at_s)
+        elif isinstance(event, LinksHealed):
+            for node in event.nodes.split(","):
+                if node in open_cuts:
+                    cuts[node].append((open_cuts.pop(node), record.at_s))
+    for node, start_s in open_cuts.items():
+        cuts[node].append((start_s, end_s))
+    return cuts
+
+
+def _extend_past_cuts(due_s: float, accepted_s: float, cuts: list[tuple[float, float]]) -> float:
+    for start_s, stop_s in cuts:
+        if start_s <= due_s and stop_s >= accepted_s:
+            due_s = max(due_s, stop_s + IN_FORCE_S)
+    return due_s
+
+
+PROMISES: dict[str, Callable[[History], list[Violation]]] = {
+    "capacity": check_capacity,
+    "single_place": check_single_place,
+    "keys": check_keys,
+    "limits": check_limits,
+    "answers": check_answers,
+    "not_run": check_not_run,
+    "once": check_once,
+    "leaving": check_leaving,
+    "graceful": check_graceful,
+    "configuration": check_configuration,
+}
+
+
+def check_history(history: History) -> list[Violation]:
+    """Checks all ten promises and returns every violation."""
+    found = []
+    for check in PROMISES.values():
+        found.extend(check(history))
+    return found
--- /dev/null
+++ b/caroblead/placer/request.py
@@ -0,0 +1,239 @@
+"""Requests: taken from gates, placed on a slot, sent to the endpoint, and answered once.
+
+A request has an id that its gate made. The same id sent again finds the request that is already
+here, or its outcome, so a gate that lost its connection may simply ask again.
+"""
+
+import asyncio
+
+from ..core.data import Queue, Task, TaskState, Urgent, VmState
+from ..core.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
+from ..core.resource import Resources
+from ..core.timer import guard
+from ..events.event import AttemptEnded, AttemptStarted, Placed
+from ..platform.interface import EndpointRequest, StartTask, VmError
+from ..policy.admission import SERVICE_WEIGHT, admit_request, drop_expired
+from ..policy.cell import end_task, enqueue_task, give_back, set_vm_state
+from ..policy.choice import observe_latency
+from ..policy.placement import Placement, place_waiting
+from ..policy.retry import compute_backoff, earn_retry, spend_retry
+from ..wire.gen import ttypes
+from .job import delay_call, make_fault
+from .jobbook import write_label
+from .lease import Lease, is_valid
+from .shard import RequestEntry, Shard, finish_entry, finish_without_answer
+
+ONE_SLOT = Resources(slots=1)
+# Outcomes are kept this long for a gate that asks again.
+KEEP_OUTCOME_S = 120.0
+MAX_PLACEMENTS_A_TICK = 500
+
+
+def spread_retry(shard: Shard, task: Task) -> float | None:
+    """Returns the pause before a lost request may be tried again, or nothing when it may not."""
+    row = shard.cell.teams.get(task.team)
+    if not task.repeatable or row is None or not spend_retry(row, task):
+        return None
+    return compute_backoff(task.attempt, shard.around.random)
+
+
+async def run_request(
+    shard: Shard, queue: Queue, message: ttypes.RunRequest, action: str
+) -> Outcome:
+    """Takes a request and returns its outcome once there is one."""
+    known = shard.tables.requests.get(message.request)
+    if known is not None:
+        return await asyncio.shield(known.future)
+    now_s = shard.get_time()
+    task = Task(
+        message.request,
+        message.team,
+        message.queue,
+        queue.kind,
+        ONE_SLOT,
+        submitted_s=now_s,
+        deadline_s=now_s + message.deadline_ms / 1000,
+        repeatable=bool(message.repeatable),
+    )
+    if task.name in shard.tables.foreign:
+        await _wait_for_foreign(shard, task)
+        if not task.repeatable or not shard.is_owned() or shard.get_time() > task.deadline_s:
+            detail = "the request ran for a former owner"
+            return Unknown(make_fault(shard, Reason.OWNER_CHANGED, Step.RECOVER, detail))
+    fault = admit_request(
+        shard.cell, queue, task, now_s, shard.around.node, shard.tables.mean_service_s
+    )
+    future = asyncio.get_running_loop().create_future()
+    entry = RequestEntry(task, message.payload or b"", future, action)
+    shard.tables.requests[task.name] = entry
+    if fault is not None:
+        finish_entry(shard, entry, NotRun(fault))
+        return NotRun(fault)
+    enqueue_task(shard.cell, task)
+    wake(shard, soon=isinstance(task.kind, Urgent))
+    return await asyncio.shield(future)
+
+
+async def _wait_for_foreign(shard: Shard, task: Task):
+    """Waits for the end of an attempt that still runs for a former owner of the shard."""
+    tables = shard.tables
+    while task.name in tables.foreign and shard.tables is tables:
+        await asyncio.sleep(shard.around.limits.renew_s)
+
+
+def wake(shard: Shard, soon: bool = False):
+    """Arranges for a tick: at once for urgent work, else after the tick's length."""
+    if not shard.is_owned():
+        return
+    loop = asyncio.get_running_loop()
+    if soon:
+        if shard.tick_handle is not None:
+            shard.tick_handle.cancel()
+        shard.tick_handle = loop.call_later(0, run_tick, shard)
+    elif shard.tick_handle is None:
+        shard.tick_handle = loop.call_later(shard.around.limits.tick_s, run_tick, shard)
+
+
+def run_tick(shard: Shard):
+    """Runs the decision systems once and sends off what they placed."""
+    shard.tick_handle = None
+    if not shard.is_owned() or not shard.cell.waiting:
+        return
+    placed = place_waiting(shard.cell, shard.get_time(), limit=MAX_PLACEMENTS_A_TICK)
+    touched = {}
+    for placement in placed:
+        _send_off(shard, placement, touched)
+    for lease in touched.values():
+        shard.around.kick(shard, lease)
+
+
+def _send_off(shard: Shard, placement: Placement, touched: dict[str, Lease]):
+    task, vm = placement.task, placement.vm
+    lease = shard.leases[vm.name]
+    shard.around.timeline.emit(Placed(task.name, task.team, vm.name, lease.epoch))
+    if not is_valid(lease, shard.get_time()):
+        _put_back(shard, task, vm)
+        return
+    shard.around.timeline.emit(AttemptStarted(task.name, task.attempt, vm.name, lease.epoch))
+    if task.attempt == 1:
+        earn_retry(shard.cell.teams[task.team])
+    if task.need.slots:
+        start_background(shard, _dispatch(shard, shard.tables.requests[task.name], lease))
+        return
+    lease.delivered.discard(task.name)
+    lease.start[task.name] = StartTask(
+        task.name, task.allotted, write_label(task), task.run_time_s, task.repeatable, task.team
+    )
+    touched[lease.name] = lease
+
+
+def _put_back(shard: Shard, task: Task, vm):
+    task.attempt -= 1
+    set_vm_state(shard.cell, vm, VmState.SUSPECT)
+    give_back(shard.cell, task, shard.get_time())
+    enqueue_task(shard.cell, task, front=True)
+    wake(shard)
+
+
+def start_background(shard: Shard, coroutine):
+    """Starts a task that the shard keeps until it ends."""
+    background = asyncio.create_task(guard(coroutine))
+    shard.background.add(background)
+    background.add_done_callback(shard.background.discard)
+
+
+async def _dispatch(shard: Shard, entry: RequestEntry, lease: Lease):
+    """Sends a request to its endpoint and takes in what comes back."""
+    tables, task, vm = shard.tables, entry.task, entry.task.vm
+    started_s = shard.get_time()
+    request = EndpointRequest(task.name, task.team, lease.epoch, task.repeatable, entry.payload)
+    try:
+        answer = await shard.around.holder.access.run(
+            lease.listed.address, task.queue, request, shard.around.limits.endpoint_timeout_s
+        )
+    except VmError as error:
+        if error.sent:
+            _lose_request(shard, tables, entry, lease)
+        else:
+            _return_unsent(shard, tables, entry, "unreachable")
+        return
+    latency_s = shard.get_time() - started_s
+    result = "refused" if answer.refused else "done"
+    shard.around.timeline.emit(AttemptEnded(task.name, task.attempt, vm.name, result))
+    if answer.refused:
+        _return_unsent(shard, tables, entry, f"refused with {answer.status}")
+        return
+    if shard.tables is tables:
+        observe_latency(vm, latency_s)
+        tables.mean_service_s += SERVICE_WEIGHT * (latency_s - tables.mean_service_s)
+        end_task(shard.cell, task, TaskState.DONE, shard.get_time())
+        wake(shard, soon=True)
+    finish_entry(shard, entry, Answered(answer.status, answer.body))
+
+
+def _lose_request(shard: Shard, tables, entry: RequestEntry, lease: Lease):
+    """Handles a request whose endpoint may have it, though no answer will come.
+
+    Its slot stays booked until the VM shows, under a raised epoch, that it does not run. Only then
+    may it be tried again, if it may be repeated at all.
+    """
+    task = entry.task
+    entry.may_have_run = True
+    shard.around.timeline.emit(AttemptEnded(task.name, task.attempt, lease.name, "lost"))
+    if not task.repeatable or shard.tables is not tables:
+        detail = "the endpoint was lost while it had the request"
+        fault = make_fault(shard, Reason.ENDPOINT_LOST, Step.DISPATCH, detail)
+        finish_entry(shard, entry, Unknown(fault))
+    if shard.tables is tables:
+        lease.unsettled.add(task.name)
+        lease.raise_epoch = True
+        shard.around.kick(shard, lease)
+
+
+def _return_unsent(shard: Shard, tables, entry: RequestEntry, detail: str):
+    """Handles a request that certainly did not start: it waits again, or is not run."""
+    task = entry.task
+    fault = make_fault(shard, Reason.ENDPOINT_REFUSED, Step.DISPATCH, detail)
+    if shard.tables is not tables or not shard.is_owned():
+        finish_without_answer(shard, entry, fault)
+        return
+    now_s = shard.get_time()
+    observe_latency(task.vm, 1.0)
+    give_back(shard.cell, task, now_s)
+    pause_s = compute_backoff(task.attempt, shard.around.random)
+    if now_s + pause_s < task.deadline_s:
+        task.state = TaskState.STOPPED
+        delay_call(shard, pause_s, enqueue_again, shard, task)
+        return
+    shard.cell.tasks.pop(task.name, None)
+    finish_without_answer(shard, entry, fault)
+
+
+def enqueue_again(shard: Shard, task: Task):
+    """Puts a request back at the head of its queue after a pause."""
+    enqueue_task(shard.cell, task, front=True)
+    wake(shard, soon=True)
+
+
+def expire_requests(shard: Shard):
+    """Answers requests whose deadline passed while they waited, and forgets old outcomes."""
+    now_s = shard.get_time()
+    for task in drop_expired(shard.cell, now_s):
+        entry = shard.tables.requests.get(task.name)
+        if entry is None:
+            continue
+        detail = "no slot before the deadline"
+        fault = make_fault(shard, Reason.DEADLINE, Step.QUEUE, detail)
+        finish_without_answer(shard, entry, fault)
+    old = [
+        name
+        for name, entry in shard.tables.requests.items()
+        if entry.ended_s and now_s - entry.ended_s > KEEP_OUTCOME_S
+    ]
+    for name in old:
+        del shard.tables.requests[name]
+
+
+def count_in_flight(shard: Shard) -> int:
+    """Returns how many requests are at an endpoint or wait here."""
+    return sum(not entry.future.done() for entry in shard.tables.requests.values())
--- /dev/null
+++ b/caroblead/platform/client.py
@@ -0,0 +1,209 @@
+"""The platform's interfaces over HTTP, by aiohttp.
+
+Headers are kept few: at the size we grow to, the renewal of leases is most of what a node sends.
+"""
+
+import asyncio
+import json
+
+import aiohttp
+
+from ..core.resource import Resources
+from .interface import (
+    EndpointAnswer,
+    EndpointRequest,
+    LeaseAnswer,
+    LeaseCall,
+    ListedVm,
+    LogError,
+    LogPage,
+    RunState,
+    VmError,
+    VmTask,
+)
+
+CLOCK_HEADER = "X-Clock"
+NODE_HEADER = "X-Node"
+LOG_TIMEOUT_S = 2.0
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+CLIENT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError)
+
+
+class HttpPlatform:
+    """All four interfaces of the platform on one HTTP session."""
+
+    def __init__(self, node: str, clock, log_url: str, list_url: str, connections_per_vm: int = 64):
+        self.node = node
+        self.clock = clock
+        self.log_url = log_url
+        self.list_url = list_url
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=0, keepalive_timeout=30, resolver=aiohttp.ThreadedResolver()
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector, skip_auto_headers=SKIPPED_HEADERS, auto_decompress=False
+        )
+        self.list_versions: dict[str, tuple[str, list[ListedVm]]] = {}
+        self.calls = 0
+
+    async def close(self):
+        """Closes the session."""
+        await self.session.close()
+
+    async def _fetch(self, method: str, url: str, timeout_s: float, headers=(), **options):
+        self.calls += 1
+        merged = {NODE_HEADER: self.node, CLOCK_HEADER: str(self.clock.advance()), **dict(headers)}
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        async with self.session.request(
+            method, url, headers=merged, timeout=timeout, **options
+        ) as response:
+            body = await response.read()
+            self.clock.observe(int(response.headers.get(CLOCK_HEADER, 0)))
+            return response.status, body, response.headers
+
+    async def append(self, stream: str, records: list[str]) -> int:
+        """Appends records to a stream and returns the offset of the first."""
+        body = json.dumps({"records": records}, separators=(",", ":")).encode()
+        try:
+            status, answer, _ = await self._fetch(
+                "POST", f"{self.log_url}/log/{stream}", LOG_TIMEOUT_S, data=body
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise LogError(f"can't connect: {error}", False) from None
+        except CLIENT_ERRORS as error:
+            raise LogError(f"no answer: {type(error).__name__}", True) from None
+        if status == 200:
+            return json.loads(answer)["offset"]
+        raise LogError(f"log answered {status}", status not in (429, 503))
+
+    async def read(self, stream: str, start: int) -> LogPage:
+        """Reads the records of a stream from an offset on."""
+        url = f"{self.log_url}/log/{stream}?from={start}"
+        try:
+            status, answer, _ = await self._fetch("GET", url, LOG_TIMEOUT_S)
+        except CLIENT_ERRORS as error:
+            raise LogError(f"no answer: {type(error).__name__}", False) from None
+        if status != 200:
+            raise LogError(f"log answered {status}", False)
+        page = json.loads(answer)
+        return LogPage(page["first"], page["start"], page["records"])
+
+    async def list_vms(self, zone: str) -> list[ListedVm]:
+        """Returns the VMs of an availability zone, fetching only a list that has changed."""
+        version, known = self.list_versions.get(zone, ("", []))
+        url = f"{self.list_url}/vms?zone={zone}"
+        headers = {"If-None-Match": version} if version else {}
+        try:
+            status, answer, got = await self._fetch("GET", url, LOG_TIMEOUT_S, headers)
+        except CLIENT_ERRORS as error:
+            raise VmError(f"no list: {type(error).__name__}", False) from None
+        if status == 304:
+            return known
+        if status != 200:
+            raise VmError(f"list answered {status}", False)
+        vms = [_read_vm(item) for item in json.loads(answer)["vms"]]
+        self.list_versions[zone] = (got.get("ETag", ""), vms)
+        return vms
+
+    async def lease(self, vm: str, address: str, call: LeaseCall, timeout_s: float) -> LeaseAnswer:
+        """Makes a lease call to a VM."""
+        body = json.dumps(_write_lease_call(call), separators=(",", ":")).encode()
+        try:
+            status, answer, _ = await self._fetch("POST", f"{address}/lease", timeout_s, data=body)
+        except aiohttp.ClientConnectorError as error:
+            raise VmError(f"can't connect: {error}", False) from None
+        except CLIENT_ERRORS as error:
+            raise VmError(f"no answer: {type(error).__name__}", True) from None
+        if status != 200:
+            raise VmError(f"{vm} answered {status}", True)
+        return _read_lease_answer(json.loads(answer))
+
+    async def run(
+        self, address: str, queue: str, request: EndpointRequest, timeout_s: float
+    ) -> EndpointAnswer:
+        """Sends a request to the endpoint of a VM."""
+        headers = {
+            "X-Request": request.request,
+            "X-Team": request.team,
+            "X-Epoch": str(request.epoch),
+            "X-Repeatable": "1" if request.repeatable else "0",
+        }
+        try:
+            status, body, _ = await self._fetch(
+                "POST", f"{address}/run/{queue}", timeout_s, headers, data=request.payload
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise VmError(f"can't connect: {error}", False) from None
+        except CLIENT_ERRORS as error:
+            raise VmError(f"no answer: {type(error).__name__}", True) from None
+        return EndpointAnswer(status in (409, 429, 503), status, body)
+
+
+def _read_vm(item: dict) -> ListedVm:
+    capacity = Resources(item["millicores"], item["memory_mb"], item["accelerators"], item["slots"])
+    return ListedVm(
+        item["name"],
+        item["zone"],
+        item["rack"],
+        item["address"],
+        item["state"] == "leaving",
+        capacity,
+        item["connections"],
+    )
+
+
+def _write_need(need: Resources) -> list[int]:
+    return [need.millicores, need.memory_mb, need.accelerators, need.slots]
+
+
+def _write_lease_call(call: LeaseCall) -> dict:
+    message = {
+        "holder": call.holder,
+        "epoch": call.epoch,
+        "ttl_ms": int(call.ttl_s * 1000),
+        "seen": call.seen,
+    }
+    if call.start:
+        message["start"] = [
+            {
+                "task": item.task,
+                "need": _write_need(item.need),
+                "label": item.label,
+                "run_ms": int(item.run_time_s * 1000),
+                "repeatable": item.repeatable,
+                "team": item.team,
+            }
+            for item in call.start
+        ]
+    for name in ("stop", "forget"):
+        if getattr(call, name):
+            message[name] = getattr(call, name)
+    if call.release:
+        message["release"] = True
+    if call.look:
+        message["look"] = True
+    return message
+
+
+def _read_lease_answer(answer: dict) -> LeaseAnswer:
+    tasks = answer.get("tasks")
+    if tasks is not None:
+        tasks = [
+            VmTask(
+                item["task"],
+                RunState(item["state"]),
+                item["label"],
+                Resources(*item["need"]),
+                item["used"][0],
+                item["used"][1],
+            )
+            for item in tasks
+        ]
+    return LeaseAnswer(
+        answer["granted"],
+        answer["holder"],
+        answer["epoch"],
+        answer["left_ms"] / 1000,
+        answer["version"],
+        tasks,
+    )
--- /dev/null
+++ b/caroblead/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, the programs' entry points and the load tool."""
--- /dev/null
+++ b/caroblead/tools/demo.py
@@ -0,0 +1,157 @@
+"""The demonstration: a whole site in one event loop, a mix of its work, and the checker."""
+
+import asyncio
+import json
+import time
+from pathlib import Path
+
+from rich.console import Console
+from rich.table import Table
+
+from ..config.setting import SiteSettings
+from ..config.state import ConfigState
+from ..core.data import is_request_kind, name_kind
+from ..core.resource import compute_dominant_share
+from ..events.checker import check_history
+from ..events.event import WorkStarted
+from ..events.timeline import Record, encode_record
+from .load import JobPlan, Loader, RequestPlan, plan_requests, summarize_waits
+from .localsite import LocalSite
+
+REQUESTS = 1200
+SECONDS = 10.0
+SETTLE_S = 4.0
+JOB_BODIES = {
+    "batch": {"tasks": 6, "cores": 2, "memory_mb": 4096, "run_time_s": 2},
+    "gang": {"tasks": 4, "cores": 4, "memory_mb": 8192, "run_time_s": 2},
+    "service": {"tasks": 2, "cores": 1, "memory_mb": 1024},
+}
+JOBS_PER_QUEUE = 4
+KIND_WEIGHTS = {"urgent": 1.0, "waitable": 3.0}
+
+
+def plan_work(state: ConfigState, keys: dict[str, str], seed: int) -> list[RequestPlan | JobPlan]:
+    """Plans requests and jobs for every queue of a configuration, by each of its teams."""
+    mix, jobs = [], []
+    for queue in state.queues.values():
+        kind = name_kind(queue.kind)
+        teams = sorted(queue.teams) or [""]
+        if is_request_kind(queue.kind):
+            weight = KIND_WEIGHTS[kind] / len(teams)
+            mix += [(queue.name, keys.get(team, ""), kind, weight) for team in teams]
+            continue
+        for index in range(JOBS_PER_QUEUE if kind != "service" else 1):
+            key = keys[teams[index % len(teams)]]
+            at_s = SECONDS / 2 * index / JOBS_PER_QUEUE
+            jobs.append(JobPlan(at_s, queue.name, key, JOB_BODIES[kind]))
+    return plan_requests(REQUESTS, SECONDS, mix, seed) + jobs
+
+
+def measure_packing(site: LocalSite) -> float:
+    """Returns how full the VMs that run anything are, in the fuller of cores and memory."""
+    used = [
+        max(
+            1 - vm.free.millicores / vm.capacity.millicores,
+            1 - vm.free.memory_mb / vm.capacity.memory_mb,
+        )
+        for placer in site.placers.values()
+        for shard in placer.list_owned_shards()
+        for vm in shard.cell.vms.values()
+        if any(not task.need.slots for task in vm.tasks.values())
+    ]
+    return sum(used) / len(used) if used else 0.0
+
+
+def measure_share_distance(site: LocalSite) -> float:
+    """Returns the largest gap between a team's part of what runs and its part by weight.
+
+    Only teams that have work waiting count; where nothing waits, nobody is short.
+    """
+    worst = 0.0
+    for placer in site.placers.values():
+        for shard in placer.list_owned_shards():
+            rows = shard.cell.teams.values()
+            short = [r for r in rows if any(lane.size for lane in r.lanes.values())]
+            weights = sum(row.team.share for row in short)
+            shares = [compute_dominant_share(row.used, shard.cell.capacity) for row in short]
+            for row, share in zip(short, shares, strict=True):
+                fair = sum(shares) * row.team.share / weights
+                worst = max(worst, fair - share)
+    return worst
+
+
+async def run_demo(settings: SiteSettings, events_path: str, seed: int = 1) -> dict:
+    """Runs the demonstration and returns its summary."""
+    site = LocalSite(settings, seed)
+    await site.start()
+    await site.wait_until_owned()
+    cpu_s, wall_s = time.process_time(), time.monotonic()
+    state = next(iter(site.gates.values())).follower.state
+    urls = [f"http://127.0.0.1:{gate.http_port}" for gate in site.gates.values()]
+    loader = Loader(urls, site.make_timeline("load"), seed)
+    samples: list[tuple[float, float]] = []
+    sampler = asyncio.create_task(_sample(site, samples))
+    result = await loader.run(plan_work(state, settings.standin.demo_keys, seed))
+    idle = asyncio.create_task(asyncio.sleep(SETTLE_S))
+    busy_cpu_percent = (time.process_time() - cpu_s) / (time.monotonic() - wall_s) * 100
+    cpu_s, wall_s = time.process_time(), time.monotonic()
+    await idle
+    idle_cpu = (time.process_time() - cpu_s) / (time.monotonic() - wall_s) * 100
+    sampler.cancel()
+    history = site.collect_history()
+    violations = check_history(history)
+    await site.close()
+    write_history(history, events_path)
+    summary = {
+        "requests": result.requests,
+        "answered": result.outcomes["answered"],
+        "not_run": result.outcomes["not_run"],
+        "unknown": result.outcomes["unknown"],
+        "jobs": len(result.jobs),
+        "tasks_started": _count_tasks(history),
+        "violations": len(violations) + result.outcomes["crossed"],
+        "wait_ms": summarize_waits(result),
+        "packing": round(max((p for p, _ in samples), default=0.0), 3),
+        "share_distance": round(max((d for _, d in samples), default=0.0), 3),
+        "control_cpu_percent": round(idle_cpu / len(settings.nodes), 2),
+    }
+    show_summary(summary, busy_cpu_percent, violations, events_path)
+    return summary
+
+
+async def _sample(site: LocalSite, samples: list[tuple[float, float]]):
+    while True:
+        samples.append((measure_packing(site), measure_share_distance(site)))
+        await asyncio.sleep(0.5)
+
+
+def _count_tasks(history: list[Record]) -> int:
+    return sum(
+        isinstance(record.event, WorkStarted) and not record.event.slots for record in history
+    )
+
+
+def write_history(history: list[Record], path: str):
+    """Writes a merged history as JSON lines."""
+    Path(path).parent.mkdir(parents=True, exist_ok=True)
+    Path(path).write_text("".join(encode_record(record) + "\n" for record in history))
+
+
+def show_summary(summary: dict, busy_cpu_percent: float, violations: list, events_path: str):
+    """Prints a table for people, then the summary as the last line."""
+    console = Console()
+    table = Table(title="caroblead demonstration")
+    table.add_column("measure")
+    table.add_column("value", justify="right")
+    for name, value in summary.items():
+        if name != "wait_ms":
+            table.add_row(name, str(value))
+    for kind, wait in summary["wait_ms"].items():
+        table.add_row(f"wait of {kind} requests, median", f"{wait['p50']} ms")
+        table.add_row(f"wait of {kind} requests, 99 of 100", f"{wait['p99']} ms")
+    table.add_row("processor time of everything under load", f"{busy_cpu_percent:.0f} %")
+    console.print(table)
+    for violation in violations[:20]:
+        console.print(f"violated: {violation.promise}: {violation.detail}")
+    console.print(f"time line: {events_path} (see caroblead timeline show)")
+    print(json.dumps(summary))
