Measure the decision systems against baselines and mend what the figures show

Change: a lane's jobs are tried in the order that evens out what is free, within a bound on overtaking; the order of fair share is refreshed as past use fades; a VM may be held for the team furthest below its share; the door estimates waits from the rate at which a lane is served; urgent tasks may stop batch tasks; a tick looks at a lane only when its smallest need could fit.

Books are kept under random interleavings.

--- /dev/null
+++ b/caroblead/bench/__main__.py
@@ -0,0 +1,56 @@
+"""``make bench``: runs the measurements, prints a table and JSON, and draws plots if it can.
+
+The exit code is 1 when a safety count is not zero, never for a time.
+"""
+
+import dataclasses
+import json
+import sys
+import time
+from pathlib import Path
+
+import cyclopts
+from rich.console import Console
+from rich.table import Table
+
+from .decision import MEASUREMENTS, Results
+from .plot import draw_plots
+
+OUTPUT = "var/bench.json"
+
+
+def run(only: str = "", output: str = OUTPUT) -> int:
+    """Run the measurements of the decision systems.
+
+    Parameters
+    ----------
+    only: run only measurements whose name contains this
+    output: where the figures are written as JSON
+    """
+    results = Results()
+    for measure in MEASUREMENTS:
+        if only in measure.__name__:
+            started = time.monotonic()
+            measure(results)
+            elapsed_s = time.monotonic() - started
+            print(f"{measure.__name__}: {elapsed_s:.1f} s", file=sys.stderr, flush=True)
+    table = Table(title="decision systems")
+    for column in ("measure", "figures", "target", "met", "unsafe"):
+        table.add_column(column, overflow="fold")
+    for row in results.rows:
+        figures = "\n".join(f"{name} = {value}" for name, value in row.figures.items())
+        met = "" if row.met is None else "yes" if row.met else "NO"
+        table.add_row(row.name, figures, row.target, met, str(row.unsafe))
+    Console(width=120).print(table)
+    Path(output).parent.mkdir(parents=True, exist_ok=True)
+    rows = [dataclasses.asdict(row) for row in results.rows]
+    Path(output).write_text(json.dumps(rows, indent=1))
+    for path in draw_plots(results, Path(output).parent):
+        print(f"plot: {path}")
+    unsafe = sum(row.unsafe for row in results.rows)
+    print(json.dumps({"rows": len(rows), "unsafe": unsafe, "output": output}))
+    return 1 if unsafe else 0
+
+
+if __name__ == "__main__":
+    sys.exit(cyclopts.App(default_command=run)())
--- /dev/null
+++ b/caroblead/bench/world.py
@@ -0,0 +1,368 @@
+"""Drives the decision systems with planned arrivals, and nothing else.
+
+There is no network and no process here: arrivals and ends of tasks are events on a heap, a tick
+runs after each moment at which something changed, and every book is checked as it goes. A baseline
+swaps one decision for a naive one and is driven by the same arrivals.
+"""
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..core.data import Gang, Job, Kind, Task, TaskState, Team, Vm
+from ..core.resource import Resources, fits
+from ..policy.admission import drop_expired
+from ..policy.cell import Cell, add_vm, end_task, enqueue_task, give_back, put_team, take
+from ..policy.choice import choose_expected, observe_latency
+from ..policy.fit import find_largest
+from ..policy.health import record_failure, record_success
+from ..policy.placement import Placement, place_waiting
+from ..policy.preempt import choose_victims, find_pressed
+from ..policy.retry import compute_backoff, earn_retry, spend_retry
+from ..policy.sizing import compute_allotment, learn_run_time, learn_use
+
+TICK_S = 0.02
+SAMPLE_S = 0.25
+# A VM takes this long to stop a task.
+STOP_S = 0.5
+ONE_SLOT = Resources(slots=1)
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """Work that comes at a time, with its declared and its true size."""
+
+    at_s: float
+    team: str
+    queue: str
+    kind: Kind
+    tasks: int
+    declared: Resources
+    declared_s: float
+    true: Resources
+    true_s: float
+    deadline_s: float = float("inf")
+    repeatable: bool = True
+
+
+@dataclass(slots=True)
+class Safety:
+    """Counts that must all be zero."""
+
+    over_capacity: int = 0
+    over_limit: int = 0
+    half_gangs: int = 0
+
+    @property
+    def total(self) -> int:
+        """All counts together."""
+        return self.over_capacity + self.over_limit + self.half_gangs
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a run of the world gave."""
+
+    safety: Safety = field(default_factory=Safety)
+    waits: dict[tuple[str, str], list[float]] = field(default_factory=lambda: defaultdict(list))
+    done: int = 0
+    failed_attempts: int = 0
+    attempts: int = 0
+    late: int = 0
+    refused: int = 0
+    given_up: int = 0
+    stopped: int = 0
+    usage: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    useful_s: float = 0.0
+
+
+def make_cell(workers: int, capacity: Resources, racks: int = 6, zones: int = 4) -> Cell:
+    """Makes a cell of equal VMs over racks and zones."""
+    cell = Cell()
+    for index in range(workers):
+        zone = f"z{index % zones}"
+        add_vm(cell, Vm(f"v{index:03d}", zone, f"{zone}-r{index // zones // racks}", capacity))
+    return cell
+
+
+def place_first_fit(
+    cell: Cell, now_s: float, choose_endpoint=choose_expected, limit: int = 10**9
+) -> list[Placement]:
+    """The baseline: one queue in order of arrival, the first VM that fits, head blocks the rest."""
+    waiting = sorted(
+        (
+            task
+            for row in cell.teams.values()
+            for lane in row.lanes.values()
+            for group in lane.groups.values()
+            for task in itertools.islice(group, 64)
+        ),
+        key=lambda task: task.submitted_s,
+    )
+    placed = []
+    for task in waiting:
+        row = cell.teams[task.team]
+        if row.running >= row.grant:
+            continue
+        vm = next((vm for vm in cell.vms.values() if fits(task.need, vm.free)), None)
+        if vm is None:
+            return placed
+        take(cell, task, vm, task.need, now_s)
+        placed.append(Placement(task, vm))
+    return placed
+
+
+class World:
+    """One run: a cell, arrivals and the policies under test."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        arrivals: list[Arrival],
+        place: Callable = place_waiting,
+        choose: Callable = choose_expected,
+        admit: Callable | None = None,
+        quarantine: bool = True,
+        retry_budget: bool = True,
+        broken: frozenset[str] = frozenset(),
+        outage: tuple[float, float] = (0.0, 0.0),
+        drop_late: bool = False,
+        preempt: bool = True,
+        slow: dict[str, float] | None = None,
+        sample_after_s: float = 0.0,
+        seed: int = 1,
+    ):
+        self.cell = cell
+        self.place = place
+        self.choose = choose
+        self.admit = admit
+        self.quarantine = quarantine
+        self.retry_budget = retry_budget
+        self.broken = broken
+        self.outage = outage
+        self.drop_late = drop_late
+        self.preempt = preempt and place is place_waiting
+        self.slow = slow or {}
+        self.sample_after_s = sample_after_s
+        self.random = random.Random(seed)
+        self.outcome = Outcome()
+        self.numbers = itertools.count()
+        self.heap: list = []
+        self.arrival_of: dict[str, Arrival] = {}
+        self.next_tick_s = 0.0
+        self.sampled_s = 0.0
+        for arrival in arrivals:
+            self._push(arrival.at_s, self._arrive, arrival)
+
+    def _push(self, at_s: float, action: Callable, *arguments):
+        heapq.heappush(self.heap, (at_s, next(self.numbers), action, arguments))
+
+    def run(self, until_s: float) -> Outcome:
+        """Runs to a time and returns the outcome."""
+        while self.heap and self.heap[0][0] <= until_s:
+            now_s, _, action, arguments = heapq.heappop(self.heap)
+            action(now_s, *arguments)
+        return self.outcome
+
+    def _want_tick(self, now_s: float):
+        if self.next_tick_s <= now_s:
+            self.next_tick_s = now_s + TICK_S
+            self._push(now_s + TICK_S, self._tick)
+
+    def _arrive(self, now_s: float, arrival: Arrival):
+        name = f"w{next(self.numbers)}"
+        job = None
+        if not arrival.declared.slots:
+            job = Job(
+                name,
+                arrival.team,
+                arrival.queue,
+                arrival.kind,
+                arrival.tasks,
+                arrival.declared,
+                arrival.declared_s,
+                arrival.repeatable,
+                now_s,
+            )
+            self.cell.jobs[name] = job
+        for index in range(arrival.tasks):
+            task = Task(
+                f"{name}/{index}",
+                arrival.team,
+                arrival.queue,
+                arrival.kind,
+                arrival.declared,
+                job,
+                submitted_s=now_s,
+                deadline_s=now_s + arrival.deadline_s,
+                run_time_s=arrival.declared_s,
+                repeatable=arrival.repeatable,
+            )
+            if self.admit is not None and not self.admit(self, task, now_s):
+                self.outcome.refused += 1
+                continue
+            self.arrival_of[task.name] = arrival
+            if job is not None:
+                job.tasks.append(task)
+            enqueue_task(self.cell, task)
+        self._want_tick(now_s)
+
+    def _tick(self, now_s: float):
+        if self.drop_late:
+            self.outcome.refused += len(drop_expired(self.cell, now_s))
+        placed = self.place(self.cell, now_s, self.choose)
+        for placement in placed:
+            self._start(now_s, placement)
+        if self.preempt:
+            self._make_room(now_s)
+        self._check(placed)
+        self._sample(now_s)
+
+    def _make_room(self, now_s: float):
+        """Stops batch tasks for urgent ones; they give their room back after a moment."""
+        pressed = find_pressed(self.cell)
+        for task in pressed:
+            need = compute_allotment(self.cell.sizes, task, find_largest(self.cell))
+            for victim in choose_victims(self.cell, task, need, now_s):
+                self.outcome.stopped += 1
+                self._push(now_s + STOP_S, self._stop, victim, victim.attempt)
+        if pressed:
+            self._want_tick(now_s + TICK_S * 5)
+
+    def _stop(self, now_s: float, task: Task, attempt: int):
+        if task.vm is not None and task.attempt == attempt:
+            give_back(self.cell, task, now_s)
+            enqueue_task(self.cell, task, front=True)
+            self._want_tick(now_s)
+
+    def _start(self, now_s: float, placement: Placement):
+        task, vm = placement.task, placement.vm
+        arrival = self.arrival_of[task.name]
+        self.outcome.attempts += 1
+        task.state = TaskState.RUNNING
+        if task.attempt == 1:
+            earn_retry(self.cell.teams[task.team])
+            kind = type(arrival.kind).__name__.lower()
+            self.outcome.waits[kind, task.team].append(now_s - task.submitted_s)
+            self.outcome.late += now_s > task.deadline_s
+        run_s, ok = arrival.true_s * self.slow.get(vm.name, 1.0), True
+        if vm.name in self.broken or self.outage[0] <= now_s < self.outage[1]:
+            run_s, ok = 0.05, False
+        elif arrival.true.memory_mb > task.allotted.memory_mb and not task.need.slots:
+            run_s, ok = run_s / 2, False
+        elif not task.need.slots:
+            cores = max(task.allotted.millicores, 1)
+            run_s *= max(1.0, arrival.true.millicores / cores)
+        self._push(now_s + run_s, self._end, task, task.attempt, ok)
+
+    def _end(self, now_s: float, task: Task, attempt: int, ok: bool):
+        if task.vm is None or task.attempt != attempt or now_s < task.started_s:
+            return
+        vm, arrival = task.vm, self.arrival_of[task.name]
+        if task.need.slots:
+            observe_latency(vm, now_s - task.started_s)
+        else:
+            learn_use(self.cell.sizes, task, arrival.true.millicores, arrival.true.memory_mb)
+        if ok:
+            self._finish(now_s, task)
+        else:
+            self._fail(now_s, task)
+        self._want_tick(now_s)
+
+    def _finish(self, now_s: float, task: Task):
+        self.outcome.done += 1
+        self.outcome.useful_s += now_s - task.started_s
+        learn_run_time(self.cell.sizes, task, now_s - task.started_s)
+        record_success(self.cell, task.vm)
+        end_task(self.cell, task, TaskState.DONE, now_s)
+
+    def _fail(self, now_s: float, task: Task):
+        self.outcome.failed_attempts += 1
+        vm = task.vm
+        give_up = False
+        if vm.name in self.broken and self.quarantine:
+            give_up = record_failure(self.cell, vm, task, now_s)
+        give_back(self.cell, task, now_s)
+        row = self.cell.teams[task.team]
+        if give_up or (self.retry_budget and not spend_retry(row, task) and task.attempt > 4):
+            self.outcome.given_up += 1
+            self.cell.tasks.pop(task.name, None)
+            task.state = TaskState.FAILED
+            return
+        task.state = TaskState.STOPPED
+        pause_s = compute_backoff(task.attempt, self.random) if self.retry_budget else 0.001
+        self._push(now_s + pause_s, self._again, task)
+
+    def _again(self, now_s: float, task: Task):
+        enqueue_task(self.cell, task)
+        self._want_tick(now_s)
+
+    def _check(self, placed: list[Placement]):
+        """Recounts from the tasks themselves what the books say."""
+        safety = self.outcome.safety
+        for placement in placed:
+            safety.over_capacity += not self._is_within(placement.vm)
+            row = self.cell.teams[placement.task.team]
+            safety.over_limit += row.running > row.grant
+            if isinstance(placement.task.kind, Gang):
+                states = {task.state for task in placement.task.job.tasks}
+                safety.half_gangs += TaskState.WAITING in states
+
+    def _is_within(self, vm: Vm) -> bool:
+        cores = memory = slots = 0
+        for task in vm.tasks.values():
+            cores += task.allotted.millicores
+            memory += task.allotted.memory_mb
+            slots += task.allotted.slots
+        return fits(Resources(cores, memory, 0, slots), vm.capacity)
+
+    def _sample(self, now_s: float):
+        elapsed_s = now_s - self.sampled_s
+        if elapsed_s < SAMPLE_S:
+            return
+        self.sampled_s = now_s
+        if now_s < self.sample_after_s:
+            return
+        capacity = self.cell.capacity
+        for name, row in self.cell.teams.items():
+            used = row.used
+            share = max(
+                used.millicores / (capacity.millicores or 1),
+                used.memory_mb / (capacity.memory_mb or 1),
+                used.slots / (capacity.slots or 1),
+            )
+            self.outcome.usage[name] += share * elapsed_s
+
+
+def find_percentile(values: list[float], fraction: float) -> float:
+    """Returns the value below which a fraction of the values lies."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
+
+
+def collect_waits(outcome: Outcome, kind: str, team: str = "") -> list[float]:
+    """Returns the waits of a kind of work, of one team or of all."""
+    return [
+        wait
+        for (found, name), waits in outcome.waits.items()
+        if found == kind and team in ("", name)
+        for wait in waits
+    ]
+
+
+def draw_shape(generator: random.Random, largest: Resources) -> Resources:
+    """Draws the size of a task: mostly small, some large, cores and memory unrelated."""
+    cores = generator.choice((500, 1000, 1000, 2000, 2000, 4000))
+    memory = generator.choice((512, 1024, 2048, 4096, 8192, 8192, 16384))
+    return Resources(min(cores, largest.millicores), min(memory, largest.memory_mb))
+
+
+def put_teams(cell: Cell, weights: dict[str, float], limit: int = 10**6):
+    """Adds teams with the given weights and one limit."""
+    for name, weight in weights.items():
+        put_team(cell, Team(name, weight, limit), limit)
--- a/caroblead/core/data.py
+++ b/caroblead/core/data.py
@@ -51,11 +51,16 @@
     return type(kind).__name__.lower()
 
 
-def is_request_kind(kind: Kind) -> bool:
-    """Returns whether work of this kind is a request that a caller waits for."""
+def takes_requests(kind: Kind) -> bool:
+    """Returns whether a queue of this kind takes requests that a caller waits for."""
     return isinstance(kind, Urgent | Waitable)
 
 
+def takes_jobs(kind: Kind) -> bool:
+    """Returns whether a queue of this kind takes jobs; urgent queues take both."""
+    return not isinstance(kind, Waitable)
+
+
 @dataclass(slots=True, frozen=True)
 class Team:
     """A team, its weight when the cell is full and its hard upper limit.
--- a/caroblead/gate/program.py
+++ b/caroblead/gate/program.py
@@ -13,7 +13,7 @@
 from ..config.setting import NodeSettings, SiteSettings
 from ..config.state import ConfigState, check_ticket, encode_state, find_key_team
 from ..config.ticket import Ticket, parse_ticket
-from ..core.data import Queue, is_request_kind, name_kind
+from ..core.data import Queue, name_kind, takes_jobs, takes_requests
 from ..core.outcome import Answered, Fault, NotRun, Outcome, Reason, Step, Unknown
 from ..core.timer import TimerService, guard
 from ..events.event import (
@@ -191,7 +191,8 @@
         await self._wait_for_config()
         name = request.match_info["queue"]
         queue = self.follower.state.queues.get(name)
-        if queue is None or is_request_kind(queue.kind) != for_requests:
+        takes = takes_requests if for_requests else takes_jobs
+        if queue is None or not takes(queue.kind):
             what = "requests" if for_requests else "jobs"
             detail = f"no queue {name!r} takes {what}"
             raise RefusalError(self._make_fault(Reason.NO_SUCH_QUEUE, Step.ADMIT, detail, "queue"))
--- a/caroblead/placer/job.py
+++ b/caroblead/placer/job.py
@@ -12,7 +12,6 @@
     Queue,
     Task,
     TaskState,
-    is_request_kind,
     name_kind,
 )
 from ..core.outcome import Answered, Fault, NotRun, Outcome, Reason, Step, Unknown
@@ -416,8 +415,3 @@
         if all(task.state is TaskState.WAITING for task in job.tasks):
             job.verdict = "deadline passed"
             apply_cancel(shard, job)
-
-
-def is_job_queue(queue: Queue) -> bool:
-    """Returns whether a queue takes jobs, not requests."""
-    return not is_request_kind(queue.kind)
--- a/caroblead/placer/program.py
+++ b/caroblead/placer/program.py
@@ -9,6 +9,7 @@
 
 from ..config.setting import NodeSettings, SiteSettings
 from ..config.state import encode_state, find_limit_version, list_shards
+from ..core.data import takes_jobs
 from ..core.outcome import Answered, Fault, NotRun, Outcome, Reason, Step
 from ..core.timer import TimerService, guard
 from ..events.event import DrainStarted, ProcessStarted, ProcessStopped
@@ -35,7 +36,6 @@
     drop_late_jobs,
     flush_ends,
     follow_book,
-    is_job_queue,
     restore_jobs,
     submit_job,
 )
@@ -341,7 +341,7 @@
         if shard is None:
             return to_reply(self._refuse(Reason.NOT_OWNER, f"does not own {message.shard}"))
         queue = self.follower.state.queues.get(message.queue)
-        if queue is None or not is_job_queue(queue):
+        if queue is None or not takes_jobs(queue.kind):
             return to_reply(self._refuse(Reason.NO_SUCH_QUEUE, f"no queue {message.queue!r}"))
         outcome = await submit_job(shard, queue, message)
         wake(shard)
--- a/caroblead/placer/request.py
+++ b/caroblead/placer/request.py
@@ -15,8 +15,11 @@
 from ..policy.admission import SERVICE_WEIGHT, admit_request, drop_expired
 from ..policy.cell import end_task, enqueue_task, give_back, set_vm_state
 from ..policy.choice import observe_latency
+from ..policy.fit import find_largest
 from ..policy.placement import Placement, place_waiting
+from ..policy.preempt import choose_victims, find_pressed
 from ..policy.retry import compute_backoff, earn_retry, spend_retry
+from ..policy.sizing import compute_allotment
 from ..wire.gen import ttypes
 from .job import delay_call, make_fault
 from .jobbook import write_label
@@ -105,10 +108,22 @@
     touched = {}
     for placement in placed:
         _send_off(shard, placement, touched)
+    _make_room(shard, touched)
     for lease in touched.values():
         shard.around.kick(shard, lease)
 
 
+def _make_room(shard: Shard, touched: dict[str, Lease]):
+    """Stops batch tasks where urgent tasks have found no room for a while."""
+    cell = shard.cell
+    for task in find_pressed(cell):
+        need = compute_allotment(cell.sizes, task, find_largest(cell))
+        for victim in choose_victims(cell, task, need, shard.get_time()):
+            lease = shard.leases[victim.vm.name]
+            lease.stop.add(victim.name)
+            touched[lease.name] = lease
+
+
 def _send_off(shard: Shard, placement: Placement, touched: dict[str, Lease]):
     task, vm = placement.task, placement.vm
     lease = shard.leases[vm.name]
--- a/caroblead/policy/admission.py
+++ b/caroblead/policy/admission.py
@@ -8,7 +8,7 @@
 from ..core.data import Job, Queue, Task, TaskState
 from ..core.outcome import Fault, Reason, Step
 from ..core.resource import Resources
-from .cell import Cell, TeamRow, end_task
+from .cell import Cell, Lane, TeamRow, compute_start_rate, end_task
 from .fit import ever_fits
 from .gang import gang_can_fit
 
@@ -30,7 +30,7 @@
     waiting = lane.size if lane else 0
     if waiting >= queue.max_waiting:
         return _refuse(Reason.QUEUE_FULL, peer, f"{waiting} requests wait", mean_s * waiting)
-    wait_s = estimate_wait(cell, row, waiting, mean_s)
+    wait_s = estimate_wait(cell, row, lane, mean_s, now_s) if lane else 0.0
     if now_s + wait_s > task.deadline_s:
         detail = f"expected to wait {wait_s:.2f} s, past the deadline"
         return _refuse(Reason.DEADLINE, peer, detail, wait_s)
@@ -41,16 +41,21 @@
     return Fault(reason, Step.ADMIT, peer, detail, "", max(FIRST_RETRY_S, wait_s))
 
 
-def estimate_wait(cell: Cell, row: TeamRow, waiting: int, mean_s: float) -> float:
-    """Returns how long a new request would wait behind those of its own team.
+def estimate_wait(cell: Cell, row: TeamRow, lane: Lane, mean_s: float, now_s: float) -> float:
+    """Returns how long a new request would wait behind those of its own team and class.
 
-    The team can count on its part of the slots by share, and never on more than its grant.
+    The rate at which the lane was served lately tells best, since it holds what other teams and
+    classes took. A lane that was not served yet is taken to get its team's part of the slots by
+    share, and never more than its grant.
     """
+    rate = compute_start_rate(lane, now_s)
     slots = sum(vm.capacity.slots for vm in cell.endpoints.values())
     weights = sum(other.team.share for other in cell.teams.values() if _is_busy(other))
     part = row.team.share / max(weights, row.team.share)
     servers = max(1.0, min(slots * part, row.grant))
-    return max(0.0, waiting - servers) * mean_s / servers
+    if lane.size < servers:
+        return 0.0
+    return lane.size / (rate or servers / mean_s)
 
 
 def _is_busy(row: TeamRow) -> bool:
--- a/caroblead/policy/cell.py
+++ b/caroblead/policy/cell.py
@@ -5,6 +5,7 @@
 nothing the second time.
 """
 
+import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
@@ -31,16 +32,28 @@
 CLASSES: tuple[type[Kind], ...] = (Urgent, Waitable, Service, Gang, Batch)
 # Past use of a team counts half as much after this time.
 USAGE_HALF_LIFE_S = 30.0
+# How often the order of fair share is brought up to date where nothing else does.
+KEY_REFRESH_S = 1.0
+# The window over which the rate of starts from a lane is averaged.
+RATE_WINDOW_S = 2.0
 
 
 @dataclass(slots=True, eq=False)
 class Lane:
-    """What waits for one team in one class, grouped by job, oldest job first."""
+    """What waits for one team in one class, grouped by job, oldest job first.
+
+    ``least`` remembers the smallest cores and memory that any of the first jobs needs, so that a
+    lane for which there is no room costs one comparison.
+    """
 
     team: "TeamRow"
     groups: OrderedDict[str, deque[Task]] = field(default_factory=OrderedDict)
     size: int = 0
     key: float = 0.0
+    started: float = 0.0
+    started_at_s: float = 0.0
+    least: tuple[int, int] | None = None
+    least_version: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -57,6 +70,15 @@
     lanes: dict[type[Kind], Lane] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class Hold:
+    """A VM that is kept for the next large task of a team, until a time."""
+
+    job: str
+    vm: Vm
+    until_s: float
+
+
 @dataclass(slots=True, eq=False)
 class Cell:
     """Everything that the decision systems read and change."""
@@ -76,8 +98,10 @@
     sizes: SizeTable = field(default_factory=SizeTable)
     waiting: int = 0
     gang_holder: str = ""
-    gang_since_s: float = 0.0
+    holds: dict[str, "Hold"] = field(default_factory=dict)
     starts: int = 0
+    keys_refreshed_s: float = 0.0
+    quarantined: set[str] = field(default_factory=set)
 
 
 def add_vm(cell: Cell, vm: Vm):
@@ -96,12 +120,14 @@
         return
     _remove_keys(cell, vm)
     vm.state = state
+    (cell.quarantined.add if state is VmState.QUARANTINED else cell.quarantined.discard)(vm.name)
     _insert_keys(cell, vm)
 
 
 def remove_vm(cell: Cell, vm: Vm) -> list[Task]:
     """Takes a VM out of the cell and returns the tasks whose attempt was on it."""
     _remove_keys(cell, vm)
+    cell.quarantined.discard(vm.name)
     del cell.vms[vm.name]
     cell.endpoints.pop(vm.name, None)
     cell.capacity = subtract(cell.capacity, vm.capacity)
@@ -180,6 +206,7 @@
     if lane.size == 0:
         cell.ready[kind].add((lane.key, task.team))
     lane.size += 1
+    lane.least = None
     cell.waiting += 1
     cell.tasks[task.name] = task
     task.state = TaskState.WAITING
@@ -198,6 +225,7 @@
     if not waiting:
         del lane.groups[group]
     lane.size -= 1
+    lane.least = None
     cell.waiting -= 1
     if lane.size == 0:
         cell.ready[kind].discard((lane.key, task.team))
@@ -215,6 +243,7 @@
 
 def take(cell: Cell, task: Task, vm: Vm, amount: Resources, now_s: float):
     """Books a waiting task onto a VM: the VM's room, the team's count and its share."""
+    count_start(cell.teams[task.team].lanes[type(task.kind)], now_s)
     dequeue_task(cell, task)
     attach(cell, task, vm, amount, now_s)
     task.state = TaskState.STARTING
@@ -222,6 +251,35 @@
     cell.starts += 1
 
 
+def refresh_lane_keys(cell: Cell, now_s: float):
+    """Lets the past use of every team fade in the order of fair share, at intervals.
+
+    A team's key changes with its use; without this, one that has nothing running would keep the
+    key of its last moment and might never be served again.
+    """
+    if now_s - cell.keys_refreshed_s < KEY_REFRESH_S:
+        return
+    cell.keys_refreshed_s = now_s
+    for row in cell.teams.values():
+        if any(lane.size for lane in row.lanes.values()):
+            update_lane_key(cell, row, now_s)
+
+
+def count_start(lane: Lane, now_s: float):
+    """Counts a start from a lane toward its rate."""
+    lane.started = lane.started * _decay(lane, now_s) + 1
+    lane.started_at_s = now_s
+
+
+def compute_start_rate(lane: Lane, now_s: float) -> float:
+    """Returns the starts a second from a lane, over the last few seconds."""
+    return lane.started * _decay(lane, now_s) / RATE_WINDOW_S
+
+
+def _decay(lane: Lane, now_s: float) -> float:
+    return math.exp(-(now_s - lane.started_at_s) / RATE_WINDOW_S)
+
+
 def attach(cell: Cell, task: Task, vm: Vm, amount: Resources, now_s: float):
     """Books a task that a VM already runs, as a new owner finds it."""
     row = cell.teams[task.team]
--- a/caroblead/policy/fit.py
+++ b/caroblead/policy/fit.py
@@ -4,7 +4,7 @@
 first few that fit is taken, so the cost of a choice hardly grows with the number of VMs.
 """
 
-from ..core.data import Task, Vm, VmState
+from ..core.data import Task, Urgent, Vm, VmState
 from ..core.resource import Resources, fits
 from .cell import Cell
 
@@ -41,8 +41,13 @@
 
 
 def is_blocked(vm: Vm, task: Task, end_s: float) -> bool:
-    """Returns whether a reservation keeps the task off a VM; work that ends in time may pass."""
-    if not vm.reserved_for or (task.job and vm.reserved_for == task.job.name):
+    """Returns whether a reservation keeps the task off a VM.
+
+    Urgent work passes, and so does work that is expected to end before the reservation falls due.
+    """
+    if not vm.reserved_for or isinstance(task.kind, Urgent):
+        return False
+    if task.job and vm.reserved_for == task.job.name:
         return False
     return end_s > vm.reserved_until_s
 
--- a/caroblead/policy/gang.py
+++ b/caroblead/policy/gang.py
@@ -84,13 +84,12 @@
     if holder is None and now_s - job.submitted_s >= RESERVE_AFTER_S:
         release_reservation(cell, cell.gang_holder)
         cell.gang_holder = job.name
-        cell.gang_since_s = now_s
-    if cell.gang_holder != job.name or any(vm.reserved_for for vm in cell.vms.values()):
+    if cell.gang_holder != job.name or any(vm.reserved_for == job.name for vm in cell.vms.values()):
         return
     candidates = [
         (find_free_time(cell, vm, now_s), vm)
         for vm in cell.vms.values()
-        if vm.state is VmState.LIVE and vm.name not in job.failed_vms
+        if vm.state is VmState.LIVE and vm.name not in job.failed_vms and not vm.reserved_for
     ]
     candidates.sort(key=lambda item: (item[0], item[1].name))
     missing = len(members)
--- a/caroblead/policy/health.py
+++ b/caroblead/policy/health.py
@@ -57,7 +57,8 @@
     """Returns a VM in quarantine whose pause is over and that has no probe yet."""
     if not job.repeatable:
         return None
-    for vm in cell.vms.values():
-        if vm.state is VmState.QUARANTINED and not vm.probing and now_s >= vm.quarantined_until_s:
+    for name in sorted(cell.quarantined):
+        vm = cell.vms[name]
+        if not vm.probing and now_s >= vm.quarantined_until_s:
             return vm
     return None
--- a/caroblead/policy/sizing.py
+++ b/caroblead/policy/sizing.py
@@ -23,19 +23,26 @@
 
 @dataclass(slots=True)
 class Ratios:
-    """The recent ratios of measured to declared use of one team and queue."""
+    """The recent ratios of measured to declared use of one team and queue, and their scales.
+
+    ``scales`` holds the factors for cores and memory, for work that may be repeated and for work
+    that may not.
+    """
 
     millicores: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
     memory: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
     run_time: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    scales: tuple[float, float] = (1.0, 1.0)
+    run_scale: float = 1.0
 
 
 @dataclass(slots=True)
 class SizeTable:
-    """What has been learned, by team and queue."""
+    """What has been learned, by team and queue; ``version`` grows when a scale changes."""
 
     ratios: dict[tuple[str, str], Ratios] = field(default_factory=dict)
     enabled: bool = True
+    version: int = 0
 
 
 def learn_use(table: SizeTable, task: Task, millicores: int, memory_mb: int):
@@ -45,6 +52,10 @@
         ratios.millicores.append(millicores / task.need.millicores)
     if task.need.memory_mb:
         ratios.memory.append(memory_mb / task.need.memory_mb)
+    scales = (_compute_scale(ratios.millicores), _compute_scale(ratios.memory))
+    if scales != ratios.scales:
+        ratios.scales = scales
+        table.version += 1
 
 
 def learn_run_time(table: SizeTable, task: Task, run_time_s: float):
@@ -52,22 +63,24 @@
     if task.run_time_s > 0:
         ratios = table.ratios.setdefault((task.team, task.queue), Ratios())
         ratios.run_time.append(run_time_s / task.run_time_s)
+        if len(ratios.run_time) >= MIN_SAMPLES:
+            ratios.run_scale = sorted(ratios.run_time)[len(ratios.run_time) // 2]
 
 
-def _compute_scale(samples: deque[float], lowest: float) -> float:
+def _compute_scale(samples: deque[float]) -> float:
     if len(samples) < MIN_SAMPLES:
         return 1.0
-    return min(max(max(samples) * MARGIN, lowest), LARGEST_SCALE)
+    return min(max(max(samples) * MARGIN, SMALLEST_SCALE), LARGEST_SCALE)
 
 
 def compute_allotment(table: SizeTable, task: Task, largest: Resources) -> Resources:
     """Returns what to take on a VM for a task, never more than the largest VM holds."""
     ratios = table.ratios.get((task.team, task.queue)) if table.enabled else None
-    if ratios is None:
+    if ratios is None or ratios.scales == (1.0, 1.0):
         return task.need
-    lowest = SMALLEST_SCALE if task.repeatable else 1.0
-    scale_c = _compute_scale(ratios.millicores, lowest)
-    scale_m = _compute_scale(ratios.memory, lowest)
+    scale_c, scale_m = ratios.scales
+    if not task.repeatable:
+        scale_c, scale_m = max(scale_c, 1.0), max(scale_m, 1.0)
     need = task.need
     return Resources(
         min(math.ceil(need.millicores * scale_c), max(largest.millicores, need.millicores)),
@@ -80,7 +93,4 @@
 def estimate_run_time(table: SizeTable, task: Task) -> float:
     """Returns the run time to plan with: the median of what was seen, scaled to the task."""
     ratios = table.ratios.get((task.team, task.queue))
-    if ratios is None or len(ratios.run_time) < MIN_SAMPLES:
-        return task.run_time_s
-    ordered = sorted(ratios.run_time)
-    return task.run_time_s * ordered[len(ordered) // 2]
+    return task.run_time_s * ratios.run_scale if ratios is not None else task.run_time_s
--- a/caroblead/tools/demo.py
+++ b/caroblead/tools/demo.py
@@ -10,7 +10,7 @@
 
 from ..config.setting import SiteSettings
 from ..config.state import ConfigState
-from ..core.data import is_request_kind, name_kind
+from ..core.data import name_kind, takes_requests
 from ..core.resource import compute_dominant_share
 from ..events.checker import check_history
 from ..events.event import WorkStarted
@@ -36,7 +36,7 @@
     for queue in state.queues.values():
         kind = name_kind(queue.kind)
         teams = sorted(queue.teams) or [""]
-        if is_request_kind(queue.kind):
+        if takes_requests(queue.kind):
             weight = KIND_WEIGHTS[kind] / len(teams)
             mix += [(queue.name, keys.get(team, ""), kind, weight) for team in teams]
             continue
