Run the programs as processes under load and stop an owner in the planned way

A test starts the stand-in and two zones of two entry VMs as nine processes and sends SIGTERM to the owner of a shard under load; caroblead load sends the same mix by hand.

--- a/caroblead/policy/cell_test.py
+++ b/caroblead/policy/cell_test.py
@@ -54,9 +54,7 @@
         job = Job(f"j{self.number}", team, "q", kind, count, need, 5.0, submitted_s=self.now_s)
         self.cell.jobs[job.name] = job
         for index in range(count):
-            task = Task(
-                f"{job.name}/{index}", team, "q", kind, need, job, submitted_s=self.now_s
-            )
+            task = Task(f"{job.name}/{index}", team, "q", kind, need, job, submitted_s=self.now_s)
             job.tasks.append(task)
             enqueue_task(self.cell, task)
 
--- a/caroblead/tools/command.py
+++ b/caroblead/tools/command.py
@@ -26,8 +26,9 @@
 from ..config.ticket import parse_ticket
 from ..events.checker import PROMISES
 from ..events.timeline import encode_record, read_records
-from .demo import run_demo
-from .programs import describe_problem, load_or_exit
+from .demo import run_demo, run_load
+from .load import summarize_waits
+from .programs import describe_problem, load_or_exit, open_timeline
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -381,6 +382,46 @@
     return 1 if summary["violations"] else 0
 
 
+@app.command(name="load")
+def send_load(
+    *,
+    settings: Annotated[str, Parameter(name="--settings")],
+    requests: int = 1000,
+    seconds: float = 20.0,
+    jobs: bool = True,
+    seed: int = 1,
+    json: AsJson = False,
+) -> int:
+    """Send a mix of work to a running site and account for every answer.
+
+    Parameters
+    ----------
+    settings: the site's settings, a JSON file with a section ``standin`` that has the keys
+    requests: how many requests to send
+    seconds: over how long to spread them
+    jobs: send jobs as well
+    seed: the seed of the mix
+    """
+    site = load_or_exit(settings)
+    timeline = open_timeline(site, "load")
+    result = asyncio.run(run_load(site, timeline, requests, seconds, jobs, seed))
+    timeline.close()
+    shown = {
+        "requests": result.requests,
+        "outcomes": dict(result.outcomes),
+        "reasons": {" ".join(names): count for names, count in result.reasons.items()},
+        "jobs": dict(result.job_outcomes),
+        "wait_ms": summarize_waits(result),
+    }
+    print_json(shown) if json else print_fields(shown)
+    return EXIT_REFUSED if sum(result.outcomes.values()) != requests else 0
+
+
+def print_json(shown: dict):
+    """Prints a document as one line of JSON."""
+    print(json.dumps(shown))
+
+
 def run(tokens=None):
     """Runs the command and exits with its code."""
     sys.exit(app(tokens) or 0)
--- a/caroblead/tools/demo.py
+++ b/caroblead/tools/demo.py
@@ -9,13 +9,14 @@
 from rich.table import Table
 
 from ..config.setting import SiteSettings
-from ..config.state import ConfigState
+from ..config.state import ConfigState, apply_ticket
+from ..config.ticket import read_ticket
 from ..core.data import name_kind, takes_requests
 from ..core.resource import compute_dominant_share
 from ..events.checker import check_history
 from ..events.event import WorkStarted
-from ..events.timeline import Record, encode_record
-from .load import JobPlan, Loader, RequestPlan, plan_requests, summarize_waits
+from ..events.timeline import Record, Timeline, encode_record
+from .load import JobPlan, Loader, LoadResult, RequestPlan, plan_requests, summarize_waits
 from .localsite import LocalSite
 
 REQUESTS = 1200
@@ -30,7 +31,14 @@
 KIND_WEIGHTS = {"urgent": 1.0, "waitable": 3.0}
 
 
-def plan_work(state: ConfigState, keys: dict[str, str], seed: int) -> list[RequestPlan | JobPlan]:
+def plan_work(
+    state: ConfigState,
+    keys: dict[str, str],
+    seed: int,
+    requests: int = REQUESTS,
+    seconds: float = SECONDS,
+    with_jobs: bool = True,
+) -> list[RequestPlan | JobPlan]:
     """Plans requests and jobs for every queue of a configuration, by each of its teams."""
     mix, jobs = [], []
     for queue in state.queues.values():
@@ -42,9 +50,25 @@
             continue
         for index in range(JOBS_PER_QUEUE if kind != "service" else 1):
             key = keys[teams[index % len(teams)]]
-            at_s = SECONDS / 2 * index / JOBS_PER_QUEUE
+            at_s = seconds / 2 * index / JOBS_PER_QUEUE
             jobs.append(JobPlan(at_s, queue.name, key, JOB_BODIES[kind]))
-    return plan_requests(REQUESTS, SECONDS, mix, seed) + jobs
+    return plan_requests(requests, seconds, mix, seed) + (jobs if with_jobs else [])
+
+
+async def run_load(
+    settings: SiteSettings,
+    timeline: Timeline,
+    requests: int,
+    seconds: float,
+    with_jobs: bool,
+    seed: int,
+) -> LoadResult:
+    """Sends work to the gates of a site that runs already, by its first ticket's queues."""
+    state = ConfigState()
+    apply_ticket(state, read_ticket(settings.standin.first_ticket).value)
+    urls = [f"http://{node.host}:{node.http_port}" for node in settings.nodes]
+    plans = plan_work(state, settings.standin.demo_keys, seed, requests, seconds, with_jobs)
+    return await Loader(urls, timeline, seed).run(plans)
 
 
 def measure_packing(site: LocalSite) -> float:
--- /dev/null
+++ b/caroblead/tools/programs_test.py
@@ -0,0 +1,104 @@
+"""The programs as separate processes: work flows, and SIGTERM on an owner cuts off nothing."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import time
+
+import aiohttp
+import pytest
+
+from ..events.checker import check_history
+from ..events.event import OwnerChanged
+from ..events.timeline import read_records
+from .load import Loader
+from .localsite import use_free_ports
+from .programs import open_timeline
+from .scenario import make_site_settings, plan_mixed_jobs, plan_mixed_requests
+
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 60.0
+REQUESTS = 400
+
+
+def start_program(name: str, path, *arguments) -> subprocess.Popen:
+    code = f"from caroblead.tools.programs import run_{name}; run_{name}()"
+    command = [sys.executable, "-c", code, "--settings", str(path), *arguments]
+    return subprocess.Popen(command, stdout=subprocess.DEVNULL)
+
+
+@pytest.fixture
+def site(tmp_path):
+    """Starts the stand-in, two zones of two entry VMs, and ends all of them afterwards."""
+    events = tmp_path / "events"
+    settings = use_free_ports(make_site_settings(service_ms=150.0))
+    settings = settings.model_copy(update={"events_directory": str(events)})
+    path = tmp_path / "site.json"
+    path.write_text(settings.model_dump_json())
+    programs = {("platform", ""): start_program("platform", path)}
+    time.sleep(0.5)
+    for node in settings.nodes:
+        for name in ("placer", "gate"):
+            programs[name, node.node] = start_program(name, path, "--node", node.node)
+    yield settings, programs, events
+    for program in programs.values():
+        if program.poll() is None:
+            program.send_signal(signal.SIGTERM)
+    for program in programs.values():
+        program.wait(STOP_TIMEOUT_S)
+
+
+async def find_owners(settings) -> dict[str, str]:
+    """Waits until every gate knows the owners of both shards and returns their nodes."""
+    end_s = time.monotonic() + START_TIMEOUT_S
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < end_s:
+            views = [await ask_status(session, node) for node in settings.nodes]
+            if all(set(view) == {"z1.0", "z2.0"} for view in views):
+                return views[0]
+            await asyncio.sleep(0.2)
+    raise TimeoutError("the shards found no owners")
+
+
+async def ask_status(session, node) -> dict[str, str]:
+    try:
+        async with session.get(f"http://{node.host}:{node.http_port}/v1/status") as response:
+            shown = await response.json()
+    except aiohttp.ClientError:
+        return {}
+    return {item["shard"]: entry["node"] for entry in shown["nodes"] for item in entry["shards"]}
+
+
+async def send_while_stopping(settings, programs, timeline):
+    owners = await find_owners(settings)
+    urls = [f"http://{node.host}:{node.http_port}" for node in settings.nodes]
+    loader = Loader(urls, timeline)
+    plans = plan_mixed_requests(REQUESTS, 8) + plan_mixed_jobs(6, 4)
+
+    async def stop_owner():
+        await asyncio.sleep(4)
+        for name in ("placer", "gate"):
+            programs[name, owners["z1.0"]].send_signal(signal.SIGTERM)
+
+    stopping = asyncio.create_task(stop_owner())
+    result = await loader.run(plans)
+    await stopping
+    await asyncio.sleep(8)
+    return result, owners["z1.0"]
+
+
+def test_sigterm_on_an_owner_under_load_cuts_off_nothing(site):
+    settings, programs, events = site
+    timeline = open_timeline(settings, "load")
+    result, stopped = asyncio.run(send_while_stopping(settings, programs, timeline))
+    timeline.close()
+    for name in ("placer", "gate"):
+        assert programs[name, stopped].wait(STOP_TIMEOUT_S) == 0
+    checked = read_records(sorted(events.glob("*.events.jsonl")))
+    assert checked.faults == []
+    assert result.outcomes == {"answered": REQUESTS}
+    assert result.job_outcomes == {"accepted": 6}
+    assert check_history(checked.value) == []
+    changes = [r for r in checked.value if isinstance(r.event, OwnerChanged)]
+    assert len([r for r in changes if r.event.shard == "z1.0"]) == 2
