--- /dev/null
+++ b/caroblead/gate/program_test.py
@@ -0,0 +1,127 @@
+"""What callers and operators get for right and wrong input, over HTTP."""
+
+import aiohttp
+import pytest
+
+from ..core.loop import run_in_virtual_time
+from ..tools.localsite import LocalSite
+from ..tools.scenario import KEYS, hash_key, make_site_settings
+
+OPERATOR_KEY = "op-key"
+NORTH = {"Authorization": f"Bearer {KEYS['north']}"}
+OPERATOR = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+
+
+def talk(steps):
+    """Starts a site with one entry VM and runs the steps against its gate."""
+
+    async def main():
+        settings = make_site_settings(zones=1, nodes=1, service_ms=10.0)
+        platform = settings.platform.model_copy(
+            update={"operator_key_digest": hash_key(OPERATOR_KEY)}
+        )
+        site = LocalSite(settings.model_copy(update={"platform": platform}))
+        await site.start()
+        await site.wait_until_owned()
+        gate = next(iter(site.gates.values()))
+        async with aiohttp.ClientSession(f"http://127.0.0.1:{gate.http_port}") as session:
+            result = await steps(session, site)
+        await site.close()
+        return result
+
+    return run_in_virtual_time(main())
+
+
+async def post(session, path, body, headers=None):
+    async with session.post(path, json=body, headers=headers or {}) as response:
+        return response.status, await response.json(), response.headers
+
+
+WRONG = {
+    "no key": ("check", "requests", {}, None, 401, "no_key"),
+    "bad key": ("check", "requests", {}, {"Authorization": "Bearer wrong"}, 401, "bad_key"),
+    "no queue": ("nothing", "requests", {}, NORTH, 404, "no_such_queue"),
+    "request to a job queue": ("mix", "requests", {}, NORTH, 404, "no_such_queue"),
+    "unknown field": ("check", "requests", {"pay": 1}, NORTH, 400, "bad_input"),
+    "bad deadline": ("check", "requests", {"deadline_s": -1}, NORTH, 400, "bad_input"),
+    "no tasks": ("mix", "jobs", {"tasks": 0}, NORTH, 400, "bad_input"),
+    "never fits": ("mix", "jobs", {"cores": 900}, NORTH, 409, "never_fits"),
+    "gang over the cell": ("book", "jobs", {"tasks": 50, "cores": 8}, NORTH, 409, "never_fits"),
+    "too large": ("check", "requests", {"payload": "x" * 2_000_000}, NORTH, 413, "too_large"),
+}
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_wrong_input_gets_a_clear_error(name):
+    queue, what, body, headers, status, reason = WRONG[name]
+
+    async def steps(session, site):
+        return await post(session, f"/v1/queues/{queue}/{what}", body, headers)
+
+    got, shown, _ = talk(steps)
+    assert (got, shown["outcome"], shown["error"]["reason"]) == (status, "not_run", reason)
+    assert shown["error"]["step"] and shown["error"]["peer"]
+
+
+def test_team_of_another_queue_is_forbidden():
+    async def steps(session, site):
+        ticket = {"ticket": 2, "queues": [{"name": "check", "kind": "urgent", "teams": ["south"]}]}
+        await post(session, "/v1/tickets", ticket, OPERATOR)
+        return await post(session, "/v1/queues/check/requests", {}, NORTH)
+
+    status, shown, _ = talk(steps)
+    assert (status, shown["error"]["reason"]) == (403, "forbidden")
+
+
+def test_request_job_and_cancellation_go_round():
+    async def steps(session, site):
+        answered = await post(session, "/v1/queues/check/requests", {"payload": 7}, NORTH)
+        opened = await post(session, "/v1/queues/hours/requests", {})
+        job = {"tasks": 2, "cores": 1, "run_time_s": 500, "name": "weekly"}
+        first = await post(session, "/v1/queues/mix/jobs", job, NORTH)
+        again = await post(session, "/v1/queues/mix/jobs", job, NORTH)
+        path = f"/v1/jobs/{first[1]['job']}"
+        async with session.delete(path, headers=NORTH) as response:
+            cancelled = response.status
+        async with session.get("/v1/jobs", headers=NORTH) as response:
+            jobs = (await response.json())["jobs"]
+        return answered, opened, first, again, cancelled, jobs
+
+    answered, opened, first, again, cancelled, jobs = talk(steps)
+    assert answered[0] == opened[0] == 200
+    assert first[0] == 201 and again[0] == 200
+    assert first[1]["job"] == again[1]["job"]
+    assert cancelled == 200 and len(jobs) == 1
+
+
+def test_ticket_is_refused_whole_with_every_error():
+    async def steps(session, site):
+        ticket = {
+            "ticket": 1,
+            "teams": [{"name": "east"}],
+            "queues": [{"name": "new", "teams": ["nobody"]}],
+        }
+        refused = await post(session, "/v1/tickets", ticket, OPERATOR)
+        async with session.get("/v1/config", headers=OPERATOR) as response:
+            config = await response.json()
+        keyless = await post(session, "/v1/tickets", ticket)
+        return refused, config, keyless
+
+    refused, config, keyless = talk(steps)
+    assert refused[0] == 409 and len(refused[1]["errors"]) == 2
+    assert {team["name"] for team in config["teams"]} == {"north", "south"}
+    assert keyless[0] == 401
+    assert not any(key in str(config) for key in KEYS.values())
+
+
+def test_metrics_and_status_are_served():
+    async def steps(session, site):
+        await post(session, "/v1/queues/check/requests", {"payload": 7}, NORTH)
+        async with session.get("/metrics") as response:
+            metrics = await response.text()
+        async with session.get("/v1/status") as response:
+            return metrics, await response.json()
+
+    metrics, status = talk(steps)
+    assert 'caroblead_requests_total{queue="check",outcome="answered",reason=""} 1' in metrics
+    assert status["nodes"][0]["shards"][0]["shard"] == "z1.0"
