--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test bench faults lint format wire clean
+.PHONY: demo test bench control faults lint format wire clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -21,7 +21,11 @@
 	$(BIN)/python -m caroblead.bench
 
 faults: $(VENV)/ready
-	$(BIN)/python -m caroblead.bench.faults
+	$(BIN)/python -m caroblead.bench.faults --seeds 40
+
+control: $(VENV)/ready
+	$(BIN)/python -m caroblead.bench.hop
+	$(BIN)/python -m caroblead.bench.control
 
 lint: $(VENV)/ready
 	$(BIN)/black --check --quiet caroblead
--- a/caroblead/bench/decision.py
+++ b/caroblead/bench/decision.py
@@ -33,6 +33,7 @@
     make_two_choice,
 )
 from ..policy.placement import place_waiting
+from . import world
 from .world import (
     ONE_SLOT,
     Arrival,
@@ -267,8 +268,8 @@
             need = Resources(cores, 1024)
             at_s = generator.uniform(0, 5 if team != "t1" else 20)
             arrivals.append(Arrival(at_s, team, "q", Batch(), 10, need, run_s, need, run_s))
-    world = World(cell, arrivals, place=place, sample_after_s=60.0)
-    outcome = world.run(seconds)
+    run = World(cell, arrivals, place=place, sample_after_s=60.0)
+    outcome = run.run(seconds)
     used = sum(outcome.usage.values())
     worst = 0.0
     for team, weight in weights.items():
@@ -307,8 +308,8 @@
             cell = make_cell(25, ANATOLIA_VM)
             put_teams(cell, {"t": 1.0})
             arrivals = plan_requests(load * 22.75 / 25, 200, seconds, ["t"], seed=6)
-            world = World(cell, arrivals, choose=choose, slow=slow)
-            outcome = world.run(seconds)
+            run = World(cell, arrivals, choose=choose, slow=slow)
+            outcome = run.run(seconds)
             mean_s = outcome.useful_s / max(1, outcome.done)
             waits = collect_waits(outcome, "waitable") + collect_waits(outcome, "urgent")
             figures[f"{name}_mean_s"] = round(mean_s + sum(waits) / len(waits), 3)
@@ -384,8 +385,8 @@
             Arrival(a.at_s, a.team, a.queue, a.kind, 1, a.declared, 10.0, a.declared, 10.0)
             for a in arrivals
         ]
-        world = World(cell, arrivals, quarantine=False, outage=(20.0, 30.0), retry_budget=budget)
-        outcome = world.run(seconds)
+        run = World(cell, arrivals, quarantine=False, outage=(20.0, 30.0), retry_budget=budget)
+        outcome = run.run(seconds)
         figures[f"{name}_failed_attempts"] = outcome.failed_attempts
         figures[f"{name}_done"] = outcome.done
     met = figures["budget_failed_attempts"] * 5 <= figures["none_failed_attempts"]
@@ -423,22 +424,38 @@
 
 
 def _make_codel():
-    """Returns a door that drops while the shortest wait of the last interval was too long."""
+    """Returns a door that refuses while a lane's shortest wait has been too long for a while."""
     target_s, interval_s = 0.1, 0.5
-    state = {"since": None}
+    since: dict[tuple[str, type], float] = {}
 
     def admit(world: World, task: Task, now_s: float) -> bool:
+        place = (task.team, type(task.kind))
         lane = world.cell.teams[task.team].lanes.get(type(task.kind))
         head = next(iter(lane.groups.values()))[0] if lane and lane.size else None
         if head is None or now_s - head.submitted_s < target_s:
-            state["since"] = None
+            since.pop(place, None)
             return True
-        state["since"] = state["since"] or now_s
-        return now_s - state["since"] < interval_s
+        return now_s - since.setdefault(place, now_s) < interval_s
 
     return admit
 
 
+def measure_tick(results: Results, seconds: float = 30.0):
+    """What the length of the tick costs in waiting and saves in ticks."""
+    usual, figures = world.TICK_S, {}
+    for tick_s in (0.005, 0.02, 0.1):
+        world.TICK_S = tick_s
+        cell = make_cell(25, ANATOLIA_VM)
+        put_teams(cell, {"t": 1.0})
+        run = World(cell, plan_requests(0.7, 200, seconds, ["t"], seed=12))
+        outcome = run.run(seconds)
+        waits = collect_waits(outcome, "waitable")
+        figures[f"{tick_s * 1000:g}_ms_p99_wait_s"] = round(find_percentile(waits, 0.99), 4)
+        figures[f"{tick_s * 1000:g}_ms_ticks_per_s"] = round(run.ticks / seconds, 1)
+    world.TICK_S = usual
+    results.add("length of the tick at 70%", figures)
+
+
 def measure_gangs(results: Results, seconds: float = 300.0):
     """The longest wait of gangs in a cell that batch work keeps full."""
     figures, unsafe = {}, 0
@@ -638,6 +655,7 @@
     measure_quarantine,
     measure_retries,
     measure_admission,
+    measure_tick,
     measure_gangs,
     measure_spread,
     measure_cost,
--- a/caroblead/bench/world.py
+++ b/caroblead/bench/world.py
@@ -154,6 +154,7 @@
         self.arrival_of: dict[str, Arrival] = {}
         self.next_tick_s = 0.0
         self.sampled_s = 0.0
+        self.ticks = 0
         for arrival in arrivals:
             self._push(arrival.at_s, self._arrive, arrival)
 
@@ -211,6 +212,7 @@
         self._want_tick(now_s)
 
     def _tick(self, now_s: float):
+        self.ticks += 1
         if self.drop_late:
             self.outcome.refused += len(drop_expired(self.cell, now_s))
         placed = self.place(self.cell, now_s, self.choose)
--- a/caroblead/wire/call.py
+++ b/caroblead/wire/call.py
@@ -250,7 +250,7 @@
                 task = asyncio.create_task(guard(self._answer(envelope, writer)))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
-        except WIRE_ERRORS:
+        except (*WIRE_ERRORS, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
