--- a/caroblead/fleet/membership.py
+++ b/caroblead/fleet/membership.py
@@ -12,8 +12,10 @@
 from ..wire.call import Address
 from ..wire.gen.ttypes import Digest, ShardDigest
 
-# Nodes outside the zone are told of every this many heartbeats.
+# Nodes outside the zone are told of at least every this many heartbeats, and of fewer in a fleet of
+# more than this many nodes for each, so that digests stay a small part of a node's bytes.
 FAR_HEARTBEATS = 3
+NODES_PER_FAR_HEARTBEAT = 4
 
 
 @dataclass(slots=True)
@@ -52,14 +54,13 @@
 
     zone: str
     suspect_after_s: float
-    far_suspect_after_s: float
+    heartbeat_s: float
     table: dict[str, Member] = field(default_factory=dict)
 
 
-def make_members(zone: str, suspect_after_s: float, heartbeat_s: float) -> Members:
-    """Makes an empty table for a process of a zone."""
-    far_s = suspect_after_s + 2 * FAR_HEARTBEATS * heartbeat_s
-    return Members(zone, suspect_after_s, far_s)
+def count_far_heartbeats(members: Members) -> int:
+    """Returns after how many heartbeats nodes of other zones are sent a digest."""
+    return max(FAR_HEARTBEATS, len(members.table) // NODES_PER_FAR_HEARTBEAT)
 
 
 def seed_members(members: Members, nodes) -> None:
@@ -90,8 +91,9 @@
 
 def is_heard(members: Members, member: Member, now_s: float) -> bool:
     """Returns whether a node was heard recently enough not to be suspected."""
-    near = member.zone == members.zone
-    patience_s = members.suspect_after_s if near else members.far_suspect_after_s
+    patience_s = members.suspect_after_s
+    if member.zone != members.zone:
+        patience_s += 2 * count_far_heartbeats(members) * members.heartbeat_s
     return now_s - member.heard_s <= patience_s
 
 
--- a/caroblead/gate/program.py
+++ b/caroblead/gate/program.py
@@ -26,7 +26,7 @@
 )
 from ..events.timeline import Timeline
 from ..fleet.follower import Follower
-from ..fleet.membership import hear_digest, is_heard, list_owned, make_members, seed_members
+from ..fleet.membership import Members, hear_digest, is_heard, list_owned, seed_members
 from ..platform.client import HttpPlatform
 from ..wire.call import Address, Caller, CallError, LinkSwitch, WireServer
 from ..wire.convert import ANSWERED, from_reply
@@ -82,7 +82,7 @@
         self.follower = Follower("gate", self.platform, self.caller, timeline)
         limits = site.limits
         patience_s = limits.suspect_after_s + limits.heartbeat_s
-        self.members = make_members(settings.zone, patience_s, limits.heartbeat_s)
+        self.members = Members(settings.zone, patience_s, limits.heartbeat_s)
         seed_members(self.members, site.nodes)
         self.router = Router(settings.node, settings.zone, self.caller, self.members, seed)
         self.metrics = Metrics()
@@ -234,7 +234,7 @@
                 raise RefusalError(*parsed.faults)
             call = self._accept_request(queue, parsed.value, self._read_key(request))
             with eliot.start_action(action_type="gate:request", request=call.request) as action:
-                call.action = action.task_uuid
+                call.action = action.serialize_task_id().decode()
                 outcome = await self.router.run(self.follower.state, call)
             return self._answer(queue, call.request, outcome, arrived_s)
         finally:
--- a/caroblead/placer/program.py
+++ b/caroblead/placer/program.py
@@ -16,12 +16,12 @@
 from ..events.timeline import Timeline
 from ..fleet.follower import Follower
 from ..fleet.membership import (
-    FAR_HEARTBEATS,
+    Members,
+    count_far_heartbeats,
     find_owner,
     hear_digest,
     is_heard,
     list_owned,
-    make_members,
     rank_members,
     seed_members,
 )
@@ -55,6 +55,13 @@
 RANK_DELAY_S = 1.5
 
 
+def continue_action(action: str, request: str):
+    """Goes on with the action that a gate began, so that both logs carry the same id."""
+    if not action:
+        return eliot.start_action(action_type="placer:request", request=request)
+    return eliot.Action.continue_task(task_id=action, action_type="placer:request", request=request)
+
+
 class Placer:
     """One placer process."""
 
@@ -77,7 +84,7 @@
         self.follower = Follower("placer", self.platform, self.caller, timeline)
         self.ledger = GrantLedger(self.platform, site.limits.record_batch_s)
         limits = site.limits
-        self.members = make_members(settings.zone, limits.suspect_after_s, limits.heartbeat_s)
+        self.members = Members(settings.zone, limits.suspect_after_s, limits.heartbeat_s)
         seed_members(self.members, site.nodes)
         self.shards: dict[str, Shard] = {}
         self.server = WireServer(program, clock, self._make_handlers(), self.links)
@@ -211,7 +218,7 @@
 
     async def _heartbeat(self):
         self.beats += 1
-        await self.tell_everyone(near_only=self.beats % FAR_HEARTBEATS != 1)
+        await self.tell_everyone(near_only=self.beats % count_far_heartbeats(self.members) != 1)
 
     async def tell_everyone(self, near_only: bool = False):
         """Sends a digest to the placers and gates of the zone, or of the fleet.
@@ -339,9 +346,7 @@
         queue = self.follower.state.queues.get(message.queue)
         if queue is None:
             return self._refuse(Reason.NO_SUCH_QUEUE, f"no queue {message.queue!r}")
-        with eliot.start_action(
-            action_type="placer:request", request=message.request, caller_action=action
-        ):
+        with continue_action(action, message.request):
             return await run_request(shard, queue, message, action)
 
     async def _submit_job(self, message: ttypes.SubmitJob, envelope):
--- a/caroblead/placer/request.py
+++ b/caroblead/placer/request.py
@@ -167,7 +167,9 @@
     """
     tables, task, vm, attempt = shard.tables, entry.task, entry.task.vm, entry.task.attempt
     started_s = shard.get_time()
-    request = EndpointRequest(task.name, task.team, lease.epoch, task.repeatable, entry.payload)
+    request = EndpointRequest(
+        task.name, task.team, lease.epoch, task.repeatable, entry.payload, entry.action
+    )
     try:
         answer = await shard.around.holder.access.run(
             lease.listed.address, task.queue, request, shard.around.limits.endpoint_timeout_s
--- a/caroblead/platform/client.py
+++ b/caroblead/platform/client.py
@@ -131,6 +131,7 @@
             "X-Team": request.team,
             "X-Epoch": str(request.epoch),
             "X-Repeatable": "1" if request.repeatable else "0",
+            "X-Action": request.action,
         }
         try:
             status, body, _ = await self._fetch(
--- a/caroblead/platform/interface.py
+++ b/caroblead/platform/interface.py
@@ -162,3 +162,4 @@
     epoch: int
     repeatable: bool
     payload: bytes
+    action: str = ""
--- a/caroblead/tools/command.py
+++ b/caroblead/tools/command.py
@@ -162,13 +162,13 @@
             Console().print(table)
 
 
-def _publish_key(gate: str, key: str, part: dict, as_json: bool) -> int:
+def _publish_key(gate: str, key: str, part: dict) -> Answer:
+    """Publishes a ticket of one key, with the next number."""
     config = call_gate("GET", f"{gate}/v1/config", key)
     if config.status != 200:
-        return finish(config, as_json)
-    ticket = {"ticket": config.shown["ticket"] + 1, "keys": [part]}
-    body = json.dumps(ticket).encode()
-    return finish(call_gate("POST", f"{gate}/v1/tickets", key, body, "publishing"), as_json)
+        return config
+    body = json.dumps({"ticket": config.shown["ticket"] + 1, "keys": [part]}).encode()
+    return call_gate("POST", f"{gate}/v1/tickets", key, body, "publishing")
 
 
 @key_app.command(name="grant")
@@ -178,10 +178,10 @@
     """Make a new key for a team; it is printed once and kept nowhere."""
     fresh = secrets.token_urlsafe(KEY_BYTES)
     digest = hashlib.sha256(fresh.encode()).hexdigest()
-    code = _publish_key(gate, key, {"digest": digest, "team": team}, as_json)
-    if code == 0:
-        print(f"key: {fresh}")
-    return code
+    answer = _publish_key(gate, key, {"digest": digest, "team": team})
+    if 200 <= answer.status < 300:
+        answer.shown["key"] = fresh
+    return finish(answer, as_json)
 
 
 @key_app.command(name="withdraw")
@@ -191,7 +191,7 @@
     """Withdraw a key, given as its text or as its SHA-256 digest."""
     is_digest = len(withdrawn) == 64 and all(c in "0123456789abcdef" for c in withdrawn)
     digest = withdrawn if is_digest else hashlib.sha256(withdrawn.encode()).hexdigest()
-    return _publish_key(gate, key, {"digest": digest, "removed": True}, as_json)
+    return finish(_publish_key(gate, key, {"digest": digest, "removed": True}), as_json)
 
 
 @app.command(name="status")
@@ -268,7 +268,7 @@
         table = Table()
         names = ("job", "queue", "kind", "state", "tasks", "waiting", "running", "done", "failed")
         for name in names:
-            table.add_column(name)
+            table.add_column(name, no_wrap=name == "job")
         for item in shown["jobs"]:
             table.add_row(*(str(item[name]) for name in names))
         Console().print(table)
