Part the gate by concern and give both programs one common frame

Access, callers' work and operators' calls are modules of their own now, and fleet/process.py holds what both programs share.

--- a/caroblead/gate/message.py
+++ b/caroblead/gate/message.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+import math
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -105,3 +106,8 @@
         return UNKNOWN_STATUS, shown, 0.0
     status = HTTP_STATUS.get(outcome.fault.reason, UNAVAILABLE)
     return status, shown, outcome.fault.retry_after_s
+
+
+def make_retry(seconds: float) -> dict[str, str]:
+    """Returns the header that tells a caller when to try again."""
+    return {"Retry-After": str(max(1, math.ceil(seconds)))} if seconds > 0 else {}
--- /dev/null
+++ b/caroblead/gate/operation.py
@@ -0,0 +1,135 @@
+"""Operators' calls: tickets, the configuration in force, status, metrics and the planned stop."""
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from ..config.state import ConfigState, check_ticket
+from ..config.ticket import Ticket, parse_ticket
+from ..core.outcome import Reason
+from ..core.timer import guard
+from ..events.event import TicketAccepted
+from ..fleet.membership import is_heard
+from ..wire.gen import ttypes
+from .access import RefusalError, check_operator
+from .message import describe_fault
+from .metric import write_metrics
+from .work import KEY_SHOWN
+
+if TYPE_CHECKING:
+    from .program import Gate
+
+
+async def _read_new_ticket(gate: "Gate", request: web.Request) -> Ticket:
+    """Returns the ticket that an operator sent, or refuses with every error of form."""
+    check_operator(gate, request)
+    parsed = parse_ticket(await request.read())
+    if parsed.faults:
+        raise RefusalError(*parsed.faults)
+    return parsed.value
+
+
+async def check_new_ticket(gate: "Gate", request: web.Request):
+    """Answers whether a ticket could be published now."""
+    ticket = await _read_new_ticket(gate, request)
+    await gate.follower.poll()
+    faults = check_ticket(gate.follower.state, ticket)
+    if faults:
+        raise RefusalError(*faults)
+    return web.json_response({"outcome": "valid", "ticket": ticket.ticket})
+
+
+async def publish_ticket(gate: "Gate", request: web.Request):
+    """Publishes a ticket and tells every process of it."""
+    ticket = await _read_new_ticket(gate, request)
+    faults = await gate.follower.publish(ticket)
+    if faults and faults[0].reason is Reason.PEER_LOST:
+        shown = {"outcome": "unknown", "error": describe_fault(faults[0])}
+        return web.json_response(shown, status=504)
+    if faults:
+        raise RefusalError(*faults)
+    gate.timeline.emit(describe_ticket(ticket))
+    await gate.tell_everyone()
+    return web.json_response({"outcome": "accepted", "ticket": ticket.ticket})
+
+
+async def show_config(gate: "Gate", request: web.Request):
+    """Answers with the configuration in force."""
+    check_operator(gate, request)
+    return web.json_response(describe_config(gate.follower.state))
+
+
+async def show_status(gate: "Gate", request: web.Request):
+    """Answers with what this gate knows of all entry VMs."""
+    now_s = gate.timers.get_time()
+    nodes = [
+        {
+            "node": member.node,
+            "zone": member.zone,
+            "live": is_heard(gate.members, member, now_s),
+            "draining": member.draining,
+            "ticket": member.ticket,
+            "shards": [
+                {
+                    "shard": item.shard,
+                    "epoch": item.epoch,
+                    "free_slots": item.free_slots,
+                    "free_cores": item.free_millicores / 1000,
+                    "waiting": item.waiting,
+                }
+                for item in member.shards.values()
+            ],
+        }
+        for member in sorted(gate.members.table.values(), key=lambda m: m.node)
+    ]
+    shown = {
+        "node": gate.settings.node,
+        "ticket": gate.follower.state.number,
+        "in_flight": gate.in_flight,
+        "nodes": nodes,
+    }
+    return web.json_response(shown)
+
+
+async def show_metrics(gate: "Gate", request: web.Request):
+    """Answers with the numbers of this process as text."""
+    gauges = {
+        "requests_in_flight": gate.in_flight,
+        "ticket": gate.follower.state.number,
+        "control_sent_bytes": gate.caller.traffic.sent_bytes + gate.server.traffic.sent_bytes,
+        "process_cpu_seconds": time.process_time(),
+    }
+    return web.Response(text=write_metrics(gate.metrics, gauges))
+
+
+async def order_drain(gate: "Gate", request: web.Request):
+    """Begins the planned stop of this entry VM."""
+    check_operator(gate, request)
+    member = gate.members.table[gate.settings.node]
+    await gate.caller.send(member.placer, ttypes.Drain(node=gate.settings.node))
+    asyncio.ensure_future(guard(gate.drain()))
+    return web.json_response({"outcome": "draining", "node": gate.settings.node}, status=202)
+
+
+def describe_ticket(ticket: Ticket) -> TicketAccepted:
+    """Returns the event of a ticket's acceptance, with the changes that the checker needs."""
+    withdrawn = ",".join(key.digest[:KEY_SHOWN] for key in ticket.keys if key.removed)
+    limits = ",".join(
+        f"{team.name}={0 if team.removed else team.max_running}" for team in ticket.teams
+    )
+    return TicketAccepted(ticket.ticket, withdrawn, limits)
+
+
+def describe_config(state: ConfigState) -> dict:
+    """Returns the configuration in force, with keys by the beginning of their digest only."""
+    shown: dict = {"ticket": state.number, "teams": [], "keys": [], "queues": [], "zones": []}
+    for (section, name), entry in sorted(state.entries.items()):
+        if entry.part.removed:
+            continue
+        item = entry.part.model_dump(exclude={"removed"})
+        if section == "keys":
+            item = {"key": name[:KEY_SHOWN], "team": entry.part.team}
+        shown[section].append({**item, "set_by": entry.number})
+    return shown
--- a/caroblead/placer/program.py
+++ b/caroblead/placer/program.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import secrets
 
 import eliot
 import xxhash
@@ -11,23 +10,20 @@
 from ..config.state import encode_state, find_limit_version, list_shards
 from ..core.data import takes_jobs
 from ..core.outcome import Answered, Fault, NotRun, Outcome, Reason, Step
-from ..core.timer import TimerService, guard
+from ..core.timer import guard
 from ..events.event import DrainStarted, ProcessStarted, ProcessStopped
 from ..events.timeline import Timeline
-from ..fleet.follower import Follower
 from ..fleet.membership import (
-    Members,
     count_far_heartbeats,
     find_owner,
     hear_digest,
     is_heard,
     list_owned,
     rank_members,
-    seed_members,
 )
-from ..platform.client import HttpPlatform
+from ..fleet.process import NodeProcess
 from ..platform.interface import LogError, VmError
-from ..wire.call import Address, Caller, CallError, LinkSwitch, WireServer
+from ..wire.call import Address, CallError, WireServer
 from ..wire.convert import ANSWERED, to_reply
 from ..wire.gen import ttypes
 from .grant import GrantLedger, answer_move, find_short_teams, sync_teams
@@ -62,32 +58,17 @@
     return eliot.Action.continue_task(task_id=action, action_type="placer:request", request=request)
 
 
-class Placer:
+class Placer(NodeProcess):
     """One placer process."""
 
     def __init__(
         self, site: SiteSettings, settings: NodeSettings, timeline: Timeline, links=None, seed=0
     ):
-        self.site = site
-        self.settings = settings
-        self.limits = site.limits
-        self.timeline = timeline
-        self.incarnation = f"{settings.node}~{secrets.token_hex(4)}"
-        self.links = links or LinkSwitch()
-        self.timers = TimerService(seed, self.is_frozen)
-        clock = timeline.clock
-        self.platform = HttpPlatform(
-            settings.node, clock, site.platform.log_url, site.platform.list_url, self.pause
-        )
-        program = f"{settings.node}/placer"
-        self.caller = Caller(settings.node, program, clock, self.links)
-        self.follower = Follower("placer", self.platform, self.caller, timeline)
+        super().__init__("placer", site, settings, timeline, links, seed)
         self.ledger = GrantLedger(self.platform, site.limits.record_batch_s)
-        limits = site.limits
-        self.members = Members(settings.zone, limits.suspect_after_s, limits.heartbeat_s)
-        seed_members(self.members, site.nodes)
         self.shards: dict[str, Shard] = {}
-        self.server = WireServer(program, clock, self._make_handlers(), self.links)
+        handlers = self._make_handlers()
+        self.server = WireServer(self.program, timeline.clock, handlers, self.links)
         self.draining = False
         self.settled = 0
         self.beats = 0
@@ -107,14 +88,6 @@
             ttypes.Drain: self._drain,
         }
 
-    def is_frozen(self) -> bool:
-        """Returns whether a failure test has frozen this program."""
-        return f"{self.settings.node}/placer" in self.links.frozen
-
-    async def pause(self):
-        """Stands still while a failure test has frozen this program."""
-        await self.links.wait_while_frozen(f"{self.settings.node}/placer")
-
     async def start(self):
         """Listens, learns the configuration and begins to take part."""
         await self.server.start(self.settings.host, self.settings.placer_port)
@@ -188,22 +161,14 @@
                 sync_teams(shard, self.ledger)
                 wake(shard)
 
-    def make_digest(self) -> ttypes.Digest:
+    def describe_node(self) -> ttypes.Digest:
         """Returns what this node tells the others of itself."""
-        settings = self.settings
-        return ttypes.Digest(
-            node=settings.node,
-            zone=settings.zone,
-            incarnation=self.incarnation,
-            host=settings.host,
-            placer_port=self.server.port,
-            gate_port=settings.gate_port,
-            ticket=self.follower.state.number,
-            config=self.follower.digest,
-            draining=self.draining,
-            shards=[self._describe_shard(shard) for shard in self.list_owned_shards()],
-            settled=self.settled,
-        )
+        digest = self.make_digest((self.server.port, self.settings.gate_port))
+        digest.incarnation = self.incarnation
+        digest.draining = self.draining
+        digest.shards = [self._describe_shard(shard) for shard in self.list_owned_shards()]
+        digest.settled = self.settled
+        return digest
 
     def _describe_shard(self, shard: Shard) -> ttypes.ShardDigest:
         cell = shard.cell
@@ -226,7 +191,7 @@
         Placers of other zones pass it on to their own gates, which spares a second message over
         the longer way.
         """
-        digest = self.make_digest()
+        digest = self.describe_node()
         now_s = self.timers.get_time()
         hear_digest(self.members, digest, now_s)
         self._update_settled()
@@ -497,8 +462,7 @@
                 task.cancel()
             if shard.tick_handle is not None:
                 shard.tick_handle.cancel()
-        await self.caller.close()
-        await self.platform.close()
+        await self.close_links()
 
     def get_placer_address(self) -> Address:
         """Returns where this process hears calls."""
--- a/caroblead/tools/localsite.py
+++ b/caroblead/tools/localsite.py
@@ -11,7 +11,8 @@
 from ..config.ticket import read_ticket
 from ..events.event import LinksCut, LinksHealed, ProcessKilled, ProgramFrozen, ProgramThawed
 from ..events.timeline import Record, Timeline, merge_records
-from ..gate.program import Gate, describe_ticket
+from ..gate.operation import describe_ticket
+from ..gate.program import Gate
 from ..placer.program import Placer
 from ..standin.server import PlatformServer
 from ..wire.call import LinkSwitch
@@ -133,11 +134,11 @@
                 if name in placer.shards and placer.shards[name].is_owned()
             ]
             known = all(
-                any(owner.incarnation == gate._list_owned()[name].incarnation for owner in owners)
+                any(owner.incarnation == gate.list_owned()[name].incarnation for owner in owners)
                 for gate in self.gates.values()
-                if name in gate._list_owned()
+                if name in gate.list_owned()
             )
-            heard = all(name in gate._list_owned() for gate in self.gates.values())
+            heard = all(name in gate.list_owned() for gate in self.gates.values())
             if owners and known and heard:
                 missing.discard(name)
         return missing
--- a/caroblead/tools/programs.py
+++ b/caroblead/tools/programs.py
@@ -18,7 +18,8 @@
 from ..events.event import TicketAccepted
 from ..events.timeline import Timeline
 from ..fleet.follower import STREAM
-from ..gate.program import Gate, describe_ticket
+from ..gate.operation import describe_ticket
+from ..gate.program import Gate
 from ..placer.program import Placer
 from ..standin.server import PlatformServer
 
