Ask the VM after a request whose answer is overdue

Cause: when connections to endpoints went silent for good, a request waited for the endpoint's time limit of 60 s and was then unknown, though the VM could have told at once that it did not have it. Ruled out: leases (none lapsed) and the gate's calls (they are asked again after 3 s).

Change: after 2 s and five usual latencies the owner raises the VM's epoch and reads its list; what is not on it is settled as lost, after a moment for an answer on its way. An attempt that was settled already is left alone when its call ends at last.

--- a/caroblead/placer/reconcile.py
+++ b/caroblead/placer/reconcile.py
@@ -18,6 +18,8 @@
 from .shard import Shard, finish_entry, finish_without_answer
 
 ONE_SLOT = Resources(slots=1)
+# An answer may arrive this much later than the list that does not show its request any more.
+ANSWER_GRACE_S = 0.3
 
 
 def reconcile_vm(shard: Shard, lease: Lease, answer: LeaseAnswer):
@@ -115,8 +117,17 @@
 
 
 def _settle_if_fenced(shard: Shard, lease: Lease, task: Task):
+    """Settles a request that a list under a raised epoch does not show.
+
+    Its answer may be on the way, having left before the list; it is given a moment.
+    """
     if not lease.raise_epoch:
         lease.unsettled.discard(task.name)
+        delay_call(shard, ANSWER_GRACE_S, _settle_attempt, shard, task, task.attempt)
+
+
+def _settle_attempt(shard: Shard, task: Task, attempt: int):
+    if task.vm is not None and task.attempt == attempt and task.name in shard.cell.tasks:
         settle_request(shard, task)
 
 
@@ -131,6 +142,7 @@
     if entry is None or entry.future.done():
         shard.cell.tasks.pop(task.name, None)
         return
+    entry.may_have_run = True
     pause_s = spread_retry(shard, task)
     if pause_s is not None and now_s + pause_s < task.deadline_s:
         task.state = TaskState.STOPPED
--- a/caroblead/placer/request.py
+++ b/caroblead/placer/request.py
@@ -30,6 +30,9 @@
 # Outcomes are kept this long for a gate that asks again.
 KEEP_OUTCOME_S = 120.0
 MAX_PLACEMENTS_A_TICK = 500
+# An answer that takes longer than this, and than so many usual latencies, is asked after.
+PROBE_AFTER_S = 2.0
+PROBE_LATENCIES = 5.0
 # An endpoint that could not be reached counts as this slow, so that others are preferred.
 UNREACHABLE_LATENCY_S = 1.0
 
@@ -170,13 +173,18 @@
     request = EndpointRequest(
         task.name, task.team, lease.epoch, task.repeatable, entry.payload, entry.action
     )
-    try:
-        answer = await shard.around.holder.access.run(
+    call = asyncio.ensure_future(
+        shard.around.holder.access.run(
             lease.listed.address, task.queue, request, shard.around.limits.endpoint_timeout_s
         )
+    )
+    await _probe_if_slow(shard, entry, lease, call)
+    try:
+        answer = await call
         result = "refused" if answer.refused else "done"
     except VmError as error:
         answer, result = None, "lost" if error.sent else "unreachable"
+    lease.unsettled.discard(task.name)
     shard.around.timeline.emit(AttemptEnded(task.name, attempt, vm.name, result))
     current = shard.tables is tables and task.vm is vm and task.attempt == attempt
     if result == "done":
@@ -185,7 +193,7 @@
             end_task(shard.cell, task, TaskState.DONE, shard.get_time())
             wake(shard, soon=True)
         finish_entry(shard, entry, Answered(answer.status, answer.body))
-    elif result == "lost":
+    elif result == "lost" and (current or shard.tables is not tables):
         _lose_request(shard, entry, lease, current)
     elif current and shard.is_owned():
         _return_unsent(shard, entry, result)
@@ -194,6 +202,20 @@
         finish_without_answer(shard, entry, fault)
 
 
+async def _probe_if_slow(shard: Shard, entry: RequestEntry, lease: Lease, call: asyncio.Future):
+    """Asks the VM for its list when an answer takes much longer than usual.
+
+    The connection may have gone silent. If the list, under a raised epoch, does not show the
+    request, it is settled like one whose connection was lost; else its answer is waited for.
+    """
+    vm = entry.task.vm
+    await asyncio.wait({call}, timeout=max(PROBE_AFTER_S, PROBE_LATENCIES * vm.latency_s))
+    if not call.done() and shard.leases.get(lease.name) is lease and entry.task.vm is vm:
+        lease.unsettled.add(entry.task.name)
+        lease.raise_epoch = True
+        shard.around.kick(shard, lease)
+
+
 def _note_latency(tables: Tables, vm: Vm, latency_s: float):
     observe_latency(vm, latency_s)
     tables.mean_service_s += SERVICE_WEIGHT * (latency_s - tables.mean_service_s)
--- a/caroblead/tools/scenario_test.py
+++ b/caroblead/tools/scenario_test.py
@@ -35,6 +35,7 @@
 TAKEOVER_S = 6.0
 LEASE_PERIODS = 3
 IN_FORCE_S = 3.0
+URGENT_S = 6.0
 VM = "z1-v0"
 
 KILL = [(5, kill_owner("z1.0")), (20, restart_killed)]
@@ -109,6 +110,17 @@
     assert takeovers[0] < LEASE_PERIODS * report.site.site.limits.lease_s
 
 
+def test_silent_connections_are_found_by_a_probe_and_replaced():
+    """Urgent work has 6 s to start; a connection gone silent must be noticed well before."""
+    report = play(MUTE)
+    assert set(report.result.reasons) <= {
+        ("unknown", "endpoint_lost"),
+        ("job unknown", "log_down"),
+    }
+    repeatable = [report.result.waits[name] for name in ("check", "recalc", "hours")]
+    assert all(wait.get_max_value() / 1e6 < URGENT_S for wait in repeatable)
+
+
 def test_planned_stop_cuts_off_nothing():
     report = play(DRAIN, zones=2, nodes=2)
     stops = [r.event for r in report.history if isinstance(r.event, ProcessStopped)]
