Take the rule on lost attempts out of both places where it now stands

Settling now goes through the same function as every other end without an answer, and the test takes the rule out of both; it asserts what it did before.

--- a/caroblead/placer/reconcile.py
+++ b/caroblead/placer/reconcile.py
@@ -6,7 +6,7 @@
 """
 
 from ..core.data import Task, TaskState, Team, Urgent, Vm
-from ..core.outcome import Reason, Step, Unknown
+from ..core.outcome import Reason, Step
 from ..core.resource import Resources
 from ..platform.interface import LeaseAnswer, RunState, VmTask
 from ..policy.cell import attach, give_back, put_team
@@ -15,7 +15,7 @@
 from .jobbook import read_label, split_task_name
 from .lease import Lease
 from .request import enqueue_again, spread_retry
-from .shard import Shard, finish_entry, finish_without_answer
+from .shard import Shard, finish_without_answer
 
 ONE_SLOT = Resources(slots=1)
 # An answer may arrive this much later than the list that does not show its request any more.
@@ -151,7 +151,7 @@
     shard.cell.tasks.pop(task.name, None)
     detail = "the endpoint was lost while it had the request"
     fault = make_fault(shard, Reason.ENDPOINT_LOST, Step.DISPATCH, detail)
-    finish_entry(shard, entry, Unknown(fault))
+    finish_without_answer(shard, entry, fault)
 
 
 def lose_vm(shard: Shard, vm: Vm):
--- a/caroblead/tools/mechanism_test.py
+++ b/caroblead/tools/mechanism_test.py
@@ -16,7 +16,7 @@
     withdraw_key,
 )
 from ..config import state as config_state
-from ..core.outcome import NotRun
+from ..core.outcome import NotRun, Reason, Step
 from ..events.event import ProcessStopped
 from ..fleet.follower import Follower
 from ..gate.program import Gate
@@ -74,11 +74,15 @@
 
 
 def test_lost_attempt_forbids_saying_not_run(monkeypatch):
-    def finish_as_not_run(shard, entry, lease, current):
-        fault = request.make_fault(shard, "endpoint_lost", "dispatch", "")
+    def finish_as_not_run(shard, entry, fault):
         request.finish_entry(shard, entry, NotRun(fault))
 
-    monkeypatch.setattr(request, "_lose_request", finish_as_not_run)
+    def lose_as_not_run(shard, entry, lease, current):
+        fault = request.make_fault(shard, Reason.ENDPOINT_LOST, Step.DISPATCH, "")
+        finish_as_not_run(shard, entry, fault)
+
+    monkeypatch.setattr(request, "_lose_request", lose_as_not_run)
+    monkeypatch.setattr(reconcile, "finish_without_answer", finish_as_not_run)
     found = play([(5, switch(mute=True)), (7, switch(kill=["z1-v0"]))])
     assert "not_run" in found
 
