--- a/caroblead/bench/__main__.py
+++ b/caroblead/bench/__main__.py
@@ -13,9 +13,45 @@
 from rich.console import Console
 from rich.table import Table
 
-from .decision import MEASUREMENTS, Results
+from .cost import measure_cancellation, measure_cost, measure_memory
 from .plot import draw_plots
 from .propagation import measure_propagation
+from .request import (
+    measure_admission,
+    measure_choice,
+    measure_isolation,
+    measure_tick,
+    measure_urgent_requests,
+)
+from .result import Results
+from .task import (
+    measure_gangs,
+    measure_packing,
+    measure_share,
+    measure_spread,
+    measure_urgent_tasks,
+)
+from .trouble import measure_quarantine, measure_retries, measure_sizing
+
+MEASUREMENTS = (
+    measure_urgent_requests,
+    measure_urgent_tasks,
+    measure_packing,
+    measure_share,
+    measure_isolation,
+    measure_choice,
+    measure_sizing,
+    measure_quarantine,
+    measure_retries,
+    measure_admission,
+    measure_tick,
+    measure_gangs,
+    measure_spread,
+    measure_cost,
+    measure_cancellation,
+    measure_memory,
+    measure_propagation,
+)
 
 OUTPUT = "var/bench.json"
 
@@ -29,7 +65,7 @@
     output: where the figures are written as JSON
     """
     results = Results()
-    for measure in (*MEASUREMENTS, measure_propagation):
+    for measure in MEASUREMENTS:
         if only in measure.__name__:
             started = time.monotonic()
             measure(results)
--- a/caroblead/bench/plot.py
+++ b/caroblead/bench/plot.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from .decision import Results
+from .result import Results
 
 try:
     import matplotlib
--- a/caroblead/bench/propagation.py
+++ b/caroblead/bench/propagation.py
@@ -7,7 +7,7 @@
 from ..fleet.follower import Follower
 from ..tools.localsite import LocalSite
 from ..tools.scenario import make_site_settings
-from .decision import Results
+from .result import Results
 
 TICKETS = 12
 TARGET_S = 3.0
--- /dev/null
+++ b/caroblead/bench/request.py
@@ -0,0 +1,182 @@
+"""Requests: urgent ones, floods, the choice of an endpoint, admission and the tick."""
+
+import random
+
+from ..core.data import Queue, Task, Urgent, Waitable
+from ..policy.admission import admit_request
+from ..policy.choice import (
+    choose_expected,
+    choose_least_loaded,
+    make_random_choice,
+    make_round_robin,
+    make_two_choice,
+)
+from ..policy.placement import place_waiting
+from . import world
+from .result import Results
+from .world import (
+    ANATOLIA_VM,
+    ONE_SLOT,
+    Arrival,
+    World,
+    collect_waits,
+    find_percentile,
+    make_cell,
+    place_first_fit,
+    put_teams,
+)
+
+LOADS = (0.7, 1.0, 1.3)
+
+
+def plan_requests(
+    load: float, slots: int, seconds: float, teams: list[str], seed: int, mean_s: float = 0.4
+) -> list[Arrival]:
+    """Plans requests of which a quarter are urgent, at a load relative to the slots."""
+    generator = random.Random(seed)
+    rate = load * slots / mean_s
+    arrivals, now_s = [], 0.0
+    while now_s < seconds:
+        now_s += generator.expovariate(rate)
+        urgent = generator.random() < 0.25
+        true_s = generator.expovariate(1 / mean_s)
+        arrivals.append(
+            Arrival(
+                now_s,
+                generator.choice(teams),
+                "check" if urgent else "recalc",
+                Urgent() if urgent else Waitable(),
+                1,
+                ONE_SLOT,
+                mean_s,
+                ONE_SLOT,
+                true_s,
+                6.0 if urgent else 30.0,
+            )
+        )
+    return arrivals
+
+
+def measure_urgent_requests(results: Results, seconds: float = 40.0):
+    """Waits of urgent requests at the size of the Anatolian deployment."""
+    teams = [f"t{index}" for index in range(6)]
+    for load in LOADS:
+        waits = {}
+        unsafe = 0
+        for name, place in (("caroblead", place_waiting), ("fifo_first_fit", place_first_fit)):
+            cell = make_cell(25, ANATOLIA_VM)
+            put_teams(cell, dict.fromkeys(teams, 1.0))
+            arrivals = plan_requests(load, 25 * 8, seconds, teams, seed=1)
+            outcome = World(cell, arrivals, place=place).run(seconds)
+            waits[name] = find_percentile(collect_waits(outcome, "urgent"), 0.99)
+            if name == "caroblead":
+                unsafe = outcome.safety.total
+        figures = {f"{name}_p99_s": round(value, 3) for name, value in waits.items()}
+        met = None
+        if load == 1.3:
+            met = waits["caroblead"] <= waits["fifo_first_fit"] / 10
+        target = "p99 at most a tenth of first fit" if load == 1.3 else ""
+        results.add(f"urgent requests at {load:.0%}", figures, target, met, unsafe)
+
+
+def measure_isolation(results: Results, seconds: float = 30.0):
+    """What a flood by one team does to another team's urgent requests."""
+    figures = {}
+    for policy, place in (("caroblead", place_waiting), ("fifo_first_fit", place_first_fit)):
+        cell = make_cell(25, ANATOLIA_VM)
+        put_teams(cell, {"quiet": 1.0, "flood": 1.0})
+        quiet = plan_requests(0.2, 200, seconds, ["quiet"], seed=4)
+        flood = plan_requests(2.0, 200, seconds, ["flood"], seed=5)
+        outcome = World(cell, quiet + flood, place=place).run(seconds)
+        waits = collect_waits(outcome, "urgent", "quiet")
+        figures[f"{policy}_p99_s"] = round(find_percentile(waits, 0.99), 3)
+    met = figures["caroblead_p99_s"] <= figures["fifo_first_fit_p99_s"] / 10
+    results.add("quiet team's urgent requests under a flood", figures, "a tenth of first fit", met)
+
+
+def measure_choice(results: Results, seconds: float = 40.0):
+    """Choice of an endpoint when three of 25 are four times slower than the rest."""
+    slow = {"v003": 4.0, "v011": 4.0, "v017": 4.0}
+    for load in (0.7, 1.0):
+        figures = {}
+        for name, choose in (
+            ("caroblead", choose_expected),
+            ("random", make_random_choice(1)),
+            ("round_robin", make_round_robin()),
+            ("least_loaded", choose_least_loaded),
+            ("two_choices", make_two_choice(1)),
+        ):
+            cell = make_cell(25, ANATOLIA_VM)
+            put_teams(cell, {"t": 1.0})
+            arrivals = plan_requests(load * 22.75 / 25, 200, seconds, ["t"], seed=6)
+            run = World(cell, arrivals, choose=choose, slow=slow)
+            outcome = run.run(seconds)
+            mean_s = outcome.useful_s / max(1, outcome.done)
+            waits = collect_waits(outcome, "waitable") + collect_waits(outcome, "urgent")
+            figures[f"{name}_mean_s"] = round(mean_s + sum(waits) / len(waits), 3)
+        best = min(value for name, value in figures.items() if name != "caroblead_mean_s")
+        met = figures["caroblead_mean_s"] <= best
+        results.add(f"choice of endpoint at {load:.0%}", figures, "no worse than any other", met)
+
+
+def _admit_by_deadline(world: World, task: Task, now_s: float) -> bool:
+    queue = Queue(task.queue, task.kind, frozenset(), max_waiting=10_000)
+    return admit_request(world.cell, queue, task, now_s, "bench", 0.4) is None
+
+
+def measure_admission(results: Results, seconds: float = 60.0):
+    """Requests that start before their deadline at 130% load, by the way of shedding."""
+    teams = [f"t{index}" for index in range(6)]
+    figures = {}
+    limit_s = 2.0
+    for name, admit, drop_late in (
+        ("deadline", _admit_by_deadline, True),
+        ("only_dropping", None, True),
+        ("codel", _make_codel(), False),
+        ("none", None, False),
+    ):
+        cell = make_cell(25, ANATOLIA_VM)
+        put_teams(cell, dict.fromkeys(teams, 1.0))
+        arrivals = [
+            Arrival(a.at_s, a.team, a.queue, a.kind, 1, ONE_SLOT, 0.4, ONE_SLOT, a.true_s, limit_s)
+            for a in plan_requests(1.3, 200, seconds, teams, seed=9)
+        ]
+        outcome = World(cell, arrivals, admit=admit, drop_late=drop_late).run(seconds)
+        started = outcome.attempts - outcome.late
+        figures[f"{name}_in_time"] = round(started / len(arrivals), 3)
+        figures[f"{name}_late"] = outcome.late
+    met = figures["deadline_in_time"] >= figures["none_in_time"]
+    results.add("requests started in time at 130%", figures, "better than no shedding", met)
+
+
+def _make_codel():
+    """Returns a door that refuses while a lane's shortest wait has been too long for a while."""
+    target_s, interval_s = 0.1, 0.5
+    since: dict[tuple[str, type], float] = {}
+
+    def admit(world: World, task: Task, now_s: float) -> bool:
+        place = (task.team, type(task.kind))
+        lane = world.cell.teams[task.team].lanes.get(type(task.kind))
+        head = next(iter(lane.groups.values()))[0] if lane and lane.size else None
+        if head is None or now_s - head.submitted_s < target_s:
+            since.pop(place, None)
+            return True
+        return now_s - since.setdefault(place, now_s) < interval_s
+
+    return admit
+
+
+def measure_tick(results: Results, seconds: float = 30.0):
+    """What the length of the tick costs in waiting and saves in ticks."""
+    usual, figures = world.TICK_S, {}
+    for tick_s in (0.005, 0.02, 0.1):
+        world.TICK_S = tick_s
+        cell = make_cell(25, ANATOLIA_VM)
+        put_teams(cell, {"t": 1.0})
+        run = World(cell, plan_requests(0.7, 200, seconds, ["t"], seed=12))
+        outcome = run.run(seconds)
+        waits = collect_waits(outcome, "waitable")
+        figures[f"{tick_s * 1000:g}_ms_p99_wait_s"] = round(find_percentile(waits, 0.99), 4)
+        figures[f"{tick_s * 1000:g}_ms_ticks_per_s"] = round(run.ticks / seconds, 1)
+    world.TICK_S = usual
+    results.add("length of the tick at 70%", figures)
--- a/caroblead/bench/world.py
+++ b/caroblead/bench/world.py
@@ -29,6 +29,11 @@
 # A VM takes this long to stop a task.
 STOP_S = 0.5
 ONE_SLOT = Resources(slots=1)
+# The VMs of the two deployments, and the size that the fleet grows to.
+ANATOLIA_VM = Resources(16_000, 65_536, 0, 8)
+PRAIRIES_VM = Resources(64_000, 131_072, 0, 8)
+LETTER_WORKERS = 560
+LETTER_TEAMS = 230
 
 
 @dataclass(slots=True, frozen=True)
