Let urgent jobs stop batch work in the placer too, and clear out what nothing uses

Cause: a new test submitted an urgent job to a full zone and it waited for ever. Room was never made for it, since a task stayed in state starting: VMs no longer repeat in their answer what the call itself started.

Change: a granted start makes the task running. An error of our own in a gate is answered as unknown with reason internal.

--- a/caroblead/bench/control.py
+++ b/caroblead/bench/control.py
@@ -94,15 +94,16 @@
     settings = use_free_ports(settings.model_copy(update={"standin": standin}))
     path = directory / "site.json"
     path.write_text(settings.model_dump_json())
-    programs = {("platform", ""): _start("platform", path)}
+    programs = {("platform", ""): start_program("platform", path)}
     time.sleep(0.7)
     for node in settings.nodes:
         for name in ("placer", "gate"):
-            programs[name, node.node] = _start(name, path, "--node", node.node)
+            programs[name, node.node] = start_program(name, path, "--node", node.node)
     return settings, programs
 
 
-def _start(name: str, path: Path, *arguments: str) -> subprocess.Popen:
+def start_program(name: str, path: Path, *arguments: str) -> subprocess.Popen:
+    """Starts one of the programs as a process of its own."""
     code = f"from caroblead.tools.programs import run_{name}; run_{name}()"
     command = [sys.executable, "-c", code, "--settings", str(path), *arguments]
     return subprocess.Popen(command, stdout=subprocess.DEVNULL)
--- a/caroblead/bench/trouble.py
+++ b/caroblead/bench/trouble.py
@@ -46,17 +46,21 @@
     return arrivals
 
 
+def _plan_right_sizes(load: float, seconds: float) -> list[Arrival]:
+    """Plans the same work with sizes that are as declared."""
+    return [
+        Arrival(a.at_s, a.team, a.queue, a.kind, 1, a.declared, 10.0, a.declared, 10.0)
+        for a in _plan_wrong_sizes(load, seconds, {"q": 1.0})
+    ]
+
+
 def measure_quarantine(results: Results, seconds: float = 120.0):
     """Two of 25 workers fail everything they start, at once."""
     figures = {}
     for name, quarantine in (("quarantine", True), ("none", False)):
         cell = make_cell(25, ANATOLIA_VM)
         put_teams(cell, {"a": 1.0, "b": 1.0})
-        arrivals = _plan_wrong_sizes(0.8, seconds, {"q": 1.0})
-        arrivals = [
-            Arrival(a.at_s, a.team, a.queue, a.kind, 1, a.declared, 10.0, a.declared, 10.0)
-            for a in arrivals
-        ]
+        arrivals = _plan_right_sizes(0.8, seconds)
         broken = frozenset({"v000", "v001"})
         outcome = World(cell, arrivals, quarantine=quarantine, broken=broken).run(seconds)
         figures[f"{name}_done"] = outcome.done
@@ -72,11 +76,7 @@
     for name, budget in (("budget", True), ("none", False)):
         cell = make_cell(25, ANATOLIA_VM)
         put_teams(cell, {"a": 1.0, "b": 1.0})
-        arrivals = _plan_wrong_sizes(0.7, seconds, {"q": 1.0})
-        arrivals = [
-            Arrival(a.at_s, a.team, a.queue, a.kind, 1, a.declared, 10.0, a.declared, 10.0)
-            for a in arrivals
-        ]
+        arrivals = _plan_right_sizes(0.7, seconds)
         run = World(cell, arrivals, quarantine=False, outage=(20.0, 30.0), retry_budget=budget)
         outcome = run.run(seconds)
         figures[f"{name}_failed_attempts"] = outcome.failed_attempts
--- a/caroblead/config/setting.py
+++ b/caroblead/config/setting.py
@@ -43,7 +43,6 @@
     tick_s: float = Field(default=0.02, gt=0, le=1)
     record_batch_s: float = Field(default=0.05, gt=0, le=5)
     record_refresh_s: float = Field(default=1200.0, gt=1)
-    call_timeout_s: float = Field(default=2.0, gt=0.1, le=60)
     max_body_bytes: int = Field(default=1_048_576, ge=1024, le=67_108_864)
     drain_s: float = Field(default=60.0, gt=0, le=3600)
     endpoint_timeout_s: float = Field(default=60.0, gt=0.1, le=3600)
--- a/caroblead/core/outcome.py
+++ b/caroblead/core/outcome.py
@@ -18,11 +18,9 @@
     ADMIT = "admit"
     ROUTE = "route"
     QUEUE = "queue"
-    PLACE = "place"
     DISPATCH = "dispatch"
     RECORD = "record"
     CALL = "call"
-    LEASE = "lease"
     RECOVER = "recover"
 
 
@@ -47,7 +45,6 @@
     LOG_DOWN = "log_down"
     NO_CONFIG = "no_config"
     CONFLICT = "conflict"
-    BAD_JOB = "bad_job"
     ENDPOINT_REFUSED = "endpoint_refused"
     PEER_LOST = "peer_lost"
     ENDPOINT_LOST = "endpoint_lost"
--- a/caroblead/core/resource.py
+++ b/caroblead/core/resource.py
@@ -6,8 +6,6 @@
 
 from dataclasses import dataclass
 
-MILLICORES_PER_CORE = 1000
-
 
 @dataclass(slots=True, frozen=True)
 class Resources:
@@ -45,16 +43,6 @@
     )
 
 
-def multiply(amount: Resources, count: int) -> Resources:
-    """Returns the amount that ``count`` equal tasks need together."""
-    return Resources(
-        amount.millicores * count,
-        amount.memory_mb * count,
-        amount.accelerators * count,
-        amount.slots * count,
-    )
-
-
 def fits(need: Resources, free: Resources) -> bool:
     """Returns whether the need is covered in every resource."""
     return (
--- a/caroblead/gate/operation.py
+++ b/caroblead/gate/operation.py
@@ -98,7 +98,7 @@
     gauges = {
         "requests_in_flight": gate.in_flight,
         "ticket": gate.follower.state.number,
-        "control_sent_bytes": gate.caller.traffic.sent_bytes + gate.server.traffic.sent_bytes,
+        "control_sent_bytes": gate.caller.sent_bytes + gate.server.sent_bytes,
         "process_cpu_seconds": time.process_time(),
     }
     return web.Response(text=write_metrics(gate.metrics, gauges))
--- a/caroblead/gate/program.py
+++ b/caroblead/gate/program.py
@@ -3,6 +3,7 @@
 import asyncio
 from functools import partial
 
+import eliot
 from aiohttp import web
 
 from ..config.setting import NodeSettings, SiteSettings
@@ -15,7 +16,7 @@
 from ..wire.call import Address, WireServer
 from ..wire.gen import ttypes
 from .access import RefusalError, make_fault, refuse
-from .message import describe_fault
+from .message import UNKNOWN_STATUS, describe_fault
 from .metric import Metrics
 from .operation import (
     check_new_ticket,
@@ -98,6 +99,12 @@
             return web.json_response(
                 {"outcome": "not_run", "error": describe_fault(fault)}, status=error.status
             )
+        except Exception as error:
+            eliot.write_traceback()
+            fault = make_fault(self, Reason.INTERNAL, Step.ROUTE, type(error).__name__)
+            return web.json_response(
+                {"outcome": "unknown", "error": describe_fault(fault)}, status=UNKNOWN_STATUS
+            )
 
     def list_owned(self) -> dict[str, Member]:
         """Returns the owner of every shard that has one."""
--- a/caroblead/gate/program_test.py
+++ b/caroblead/gate/program_test.py
@@ -1,12 +1,17 @@
 """What callers and operators get for right and wrong input, over HTTP."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
 from ..core.loop import run_in_virtual_time
 from ..tools.localsite import LocalSite
 from ..tools.scenario import KEYS, hash_key, make_site_settings
+from .route import Router
 
+# Urgent work has this long to start.
+URGENT_S = 6.0
 OPERATOR_KEY = "op-key"
 NORTH = {"Authorization": f"Bearer {KEYS['north']}"}
 OPERATOR = {"Authorization": f"Bearer {OPERATOR_KEY}"}
@@ -125,3 +130,30 @@
     metrics, status = talk(steps)
     assert 'caroblead_requests_total{queue="check",outcome="answered",reason=""} 1' in metrics
     assert status["nodes"][0]["shards"][0]["shard"] == "z1.0"
+
+
+def test_urgent_queue_takes_jobs_too_and_makes_room_for_them():
+    async def steps(session, site):
+        fill = {"tasks": 6, "cores": 8, "run_time_s": 300}
+        await post(session, "/v1/queues/mix/jobs", fill, NORTH)
+        await asyncio.sleep(1)
+        urgent = {"tasks": 1, "cores": 8, "run_time_s": 300}
+        job = (await post(session, "/v1/queues/check/jobs", urgent, NORTH))[1]["job"]
+        await asyncio.sleep(URGENT_S)
+        async with session.get(f"/v1/jobs/{job}", headers=NORTH) as response:
+            return await response.json()
+
+    assert talk(steps)["state"] == "running"
+
+
+def test_error_of_ours_is_answered_as_unknown(monkeypatch):
+    async def fail(self, state, call):
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(Router, "run", fail)
+
+    async def steps(session, site):
+        return await post(session, "/v1/queues/check/requests", {}, NORTH)
+
+    status, shown, _ = talk(steps)
+    assert (status, shown["outcome"], shown["error"]["reason"]) == (504, "unknown", "internal")
--- a/caroblead/placer/lease.py
+++ b/caroblead/placer/lease.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from ..core.data import Vm
+from ..core.data import TaskState, Vm
 from ..platform.interface import LeaseAnswer, LeaseCall, ListedVm, StartTask, VmAccess, VmError
 
 # A lease is given up this long before its end, for clocks that run at different speeds.
@@ -114,6 +114,9 @@
         if lease.start.get(item.task) is item:
             del lease.start[item.task]
             lease.delivered.add(item.task)
+            task = lease.vm.tasks.get(item.task) if lease.vm is not None else None
+            if task is not None and task.state is TaskState.STARTING:
+                task.state = TaskState.RUNNING
     lease.stop.difference_update(call.stop)
     lease.forget.difference_update(call.forget)
     lease.checkpoint.difference_update(call.checkpoint)
--- a/caroblead/placer/program.py
+++ b/caroblead/placer/program.py
@@ -463,7 +463,3 @@
             if shard.tick_handle is not None:
                 shard.tick_handle.cancel()
         await self.close_links()
-
-    def get_placer_address(self) -> Address:
-        """Returns where this process hears calls."""
-        return Address(self.settings.node, self.settings.host, self.server.port)
--- a/caroblead/platform/client.py
+++ b/caroblead/platform/client.py
@@ -47,14 +47,12 @@
             connector=connector, skip_auto_headers=SKIPPED_HEADERS, auto_decompress=False
         )
         self.list_versions: dict[str, tuple[str, list[ListedVm]]] = {}
-        self.calls = 0
 
     async def close(self):
         """Closes the session."""
         await self.session.close()
 
     async def _fetch(self, method: str, url: str, timeout_s: float, headers=(), **options):
-        self.calls += 1
         if self.pause is not None:
             await self.pause()
         merged = {NODE_HEADER: self.node, CLOCK_HEADER: str(self.clock.advance()), **dict(headers)}
--- a/caroblead/tools/programs_test.py
+++ b/caroblead/tools/programs_test.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import signal
-import subprocess
-import sys
 import time
 
 import aiohttp
 import pytest
 
+from ..bench.control import start_program
 from ..events.checker import check_history
 from ..events.event import OwnerChanged
 from ..events.timeline import read_records
@@ -22,12 +21,6 @@
 REQUESTS = 400
 
 
-def start_program(name: str, path, *arguments) -> subprocess.Popen:
-    code = f"from caroblead.tools.programs import run_{name}; run_{name}()"
-    command = [sys.executable, "-c", code, "--settings", str(path), *arguments]
-    return subprocess.Popen(command, stdout=subprocess.DEVNULL)
-
-
 @pytest.fixture
 def site(tmp_path):
     """Starts the stand-in, two zones of two entry VMs, and ends all of them afterwards."""
--- a/caroblead/wire/call.py
+++ b/caroblead/wire/call.py
@@ -40,15 +40,6 @@
     port: int
 
 
-@dataclass(slots=True)
-class Traffic:
-    """Bytes and messages that a process exchanged with its peers."""
-
-    sent_bytes: int = 0
-    sent_messages: int = 0
-    received_messages: int = 0
-
-
 class LinkSwitch:
     """Which links carry nothing and which programs stand still; empty but in failure tests."""
 
@@ -94,7 +85,7 @@
         self.connections: dict[Address, Connection] = {}
         self.dialing: dict[Address, asyncio.Task] = {}
         self.call_numbers = itertools.count(1)
-        self.traffic = Traffic()
+        self.sent_bytes = 0
 
     async def call(self, address: Address, message, timeout_s: float, action: str = ""):
         """Sends a message and returns the answer, or raises :class:`CallError` in time."""
@@ -136,8 +127,7 @@
         )
         if self.links.is_cut(self.node, address.node):
             return
-        self.traffic.sent_bytes += write_frame(connection.writer, envelope)
-        self.traffic.sent_messages += 1
+        self.sent_bytes += write_frame(connection.writer, envelope)
 
     async def _get_connection(self, address: Address, timeout_s: float) -> Connection:
         connection = self.connections.get(address)
@@ -178,7 +168,6 @@
                     continue
                 connection.heard_s = asyncio.get_running_loop().time()
                 self.clock.observe(envelope.clock)
-                self.traffic.received_messages += 1
                 future = connection.waiting.pop(envelope.call, None)
                 if future is not None and not future.done():
                     future.set_result(decode_message(MESSAGES[envelope.kind], envelope.body))
@@ -234,7 +223,7 @@
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
-        self.traffic = Traffic()
+        self.sent_bytes = 0
 
     async def start(self, host: str, port: int):
         """Listens; with port 0 the kernel chooses one."""
@@ -246,7 +235,6 @@
         try:
             while True:
                 envelope = await read_frame(reader)
-                self.traffic.received_messages += 1
                 task = asyncio.create_task(guard(self._answer(envelope, writer)))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
@@ -274,8 +262,7 @@
             budget_ms=0,
             body=encode_message(answer),
         )
-        self.traffic.sent_bytes += write_frame(writer, reply)
-        self.traffic.sent_messages += 1
+        self.sent_bytes += write_frame(writer, reply)
 
     async def close(self, abort: bool = False):
         """Stops listening and closes the streams; aborting also drops running handlers."""
