Trust a lane's rate only once it was served for a while

Cause: of 10,000 requests with three hand-overs of shards 2 were refused as past their deadline, though slots were free soon after. Just after a hand-over one start had been counted over a window of 2 s, which looked like a rate of half a start a second. Ruled out: the deadline itself (the refusals came at the door) and the hand-over, which took 9 to 44 ms.

Change: until a lane was served for the window, the wait is estimated by slots and share.

--- a/caroblead/policy/admission.py
+++ b/caroblead/policy/admission.py
@@ -13,6 +13,8 @@
 from .gang import gang_can_fit
 
 FIRST_RETRY_S = 1.0
+# A lane that is not served at all counts as served this often, in starts a second.
+LOWEST_RATE = 0.01
 # Weight of the newest observation in the average service time of a class.
 SERVICE_WEIGHT = 0.1
 
@@ -55,7 +57,7 @@
     servers = max(1.0, min(slots * part, row.grant))
     if lane.size < servers:
         return 0.0
-    return lane.size / (rate or servers / mean_s)
+    return lane.size / (servers / mean_s if rate is None else max(rate, LOWEST_RATE))
 
 
 def _is_busy(row: TeamRow) -> bool:
--- a/caroblead/policy/cell.py
+++ b/caroblead/policy/cell.py
@@ -36,6 +36,8 @@
 KEY_REFRESH_S = 1.0
 # The window over which the rate of starts from a lane is averaged.
 RATE_WINDOW_S = 2.0
+# A lane with fewer recent starts than this was idle; its rate says nothing yet.
+IDLE_STARTS = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -52,6 +54,7 @@
     key: float = 0.0
     started: float = 0.0
     started_at_s: float = 0.0
+    served_since_s: float = 0.0
     least: tuple[int, int] | None = None
     least_version: int = 0
 
@@ -267,12 +270,17 @@
 
 def count_start(lane: Lane, now_s: float):
     """Counts a start from a lane toward its rate."""
-    lane.started = lane.started * _decay(lane, now_s) + 1
+    before = lane.started * _decay(lane, now_s)
+    if before < IDLE_STARTS:
+        lane.served_since_s = now_s
+    lane.started = before + 1
     lane.started_at_s = now_s
 
 
-def compute_start_rate(lane: Lane, now_s: float) -> float:
-    """Returns the starts a second from a lane, over the last few seconds."""
+def compute_start_rate(lane: Lane, now_s: float) -> float | None:
+    """Returns the starts a second from a lane, or nothing until it was served for a while."""
+    if now_s - lane.served_since_s < RATE_WINDOW_S or not lane.started:
+        return None
     return lane.started * _decay(lane, now_s) / RATE_WINDOW_S
 
 
--- a/caroblead/policy/system_test.py
+++ b/caroblead/policy/system_test.py
@@ -173,6 +173,17 @@
     assert cell.waiting == 0
 
 
+def test_lane_that_was_just_begun_refuses_nothing_for_its_rate():
+    """As after a hand-over, when everything arrives at once and one start was counted."""
+    cell = make_cell(vms=1)
+    queue = Queue("q", Urgent(), frozenset({"a"}), max_waiting=100, deadline_s=6.0)
+    for index in range(30):
+        task = Task(f"r{index}", "a", "q", Urgent(), Resources(slots=1), deadline_s=6.0)
+        assert admit_request(cell, queue, task, 0.02, "p", 0.1) is None
+        enqueue_task(cell, task)
+        place_waiting(cell, 0.01)
+
+
 def test_job_that_can_never_run_is_refused_with_the_reason():
     cell = make_cell()
     queue = Queue("q", Batch(), frozenset({"a"}))
