Ask a VM after a request in one place

The probe for an overdue answer and the handling of a lost one raised the epoch and asked for the list in the same three lines; both call one function now. The largest VM is looked up once for all urgent tasks that wait, and not at all when none does.

--- a/caroblead/placer/request.py
+++ b/caroblead/placer/request.py
@@ -119,8 +119,10 @@
 def _make_room(shard: Shard, touched: dict[str, Lease]):
     """Stops batch tasks where urgent tasks have found no room for a while."""
     cell = shard.cell
-    for task in find_pressed(cell):
-        need = compute_allotment(cell.sizes, task, find_largest(cell))
+    pressed = find_pressed(cell)
+    largest = find_largest(cell) if pressed else None
+    for task in pressed:
+        need = compute_allotment(cell.sizes, task, largest)
         for victim in choose_victims(cell, task, need, shard.get_time()):
             lease = shard.leases[victim.vm.name]
             lease.stop.add(victim.name)
@@ -211,9 +213,14 @@
     vm = entry.task.vm
     await asyncio.wait({call}, timeout=max(PROBE_AFTER_S, PROBE_LATENCIES * vm.latency_s))
     if not call.done() and shard.leases.get(lease.name) is lease and entry.task.vm is vm:
-        lease.unsettled.add(entry.task.name)
-        lease.raise_epoch = True
-        shard.around.kick(shard, lease)
+        _ask_after(shard, entry, lease)
+
+
+def _ask_after(shard: Shard, entry: RequestEntry, lease: Lease):
+    """Asks a VM under a raised epoch for its list, which tells whether it has a request."""
+    lease.unsettled.add(entry.task.name)
+    lease.raise_epoch = True
+    shard.around.kick(shard, lease)
 
 
 def _note_latency(tables: Tables, vm: Vm, latency_s: float):
@@ -229,9 +236,7 @@
     """
     entry.may_have_run = True
     if current:
-        lease.unsettled.add(entry.task.name)
-        lease.raise_epoch = True
-        shard.around.kick(shard, lease)
+        _ask_after(shard, entry, lease)
     if not entry.task.repeatable or not current:
         detail = "the endpoint was lost while it had the request"
         fault = make_fault(shard, Reason.ENDPOINT_LOST, Step.DISPATCH, detail)
