Lay the thin path of a node on the operators' platform: log, election, dispatcher, adapters

Jobs of several steps stand in one keyed log of the platform's store; its order elects the leader and decides which hand-in of an id counts.

--- /dev/null
+++ b/caroblead/dispatch/fleet.py
@@ -0,0 +1,178 @@
+"""The VMs under the leader's term: their room, their leases and what runs on them.
+
+Room is taken before an order is recorded and given back only when it is certain that nothing runs
+on it any more.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from ..core.resource import NOTHING, Resources, add, subtract
+from .interface import ListedVm, Target, TaskName
+
+# A VM's clock may run this much slow.
+CLOCK_DRIFT = 0.02
+# Added to each proof that a lease has lapsed, for rounding and for the delay of timers.
+LAPSE_MARGIN_S = 0.1
+# A VM that has not answered for this long gets no new work.
+SILENT_AFTER_S = 1.5
+
+
+class RunPhase(enum.StrEnum):
+    """What is known of a run.
+
+    ``INHERITED`` runs were ordered in a former term and their VM hasn't answered in this one.
+    """
+
+    RECORDING = "recording"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    UNSURE = "unsure"
+    STOPPING = "stopping"
+    INHERITED = "inherited"
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One run of a task on a VM, from the decision to the proof of its end.
+
+    ``settled_s`` is when the VM last answered an order about it. ``wanted`` is false once its end
+    no longer matters, such as after a cancellation.
+    """
+
+    task: TaskName
+    number: int
+    vm: "VmRow"
+    team: str
+    need: Resources
+    phase: RunPhase = RunPhase.RECORDING
+    wanted: bool = True
+    ticket: str = ""
+    settled_s: float = 0.0
+    started_s: float = 0.0
+    percent: float = 0.0
+    checkpoint: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class VmRow:
+    """A VM with its lease.
+
+    ``clock_ms`` was read from the VM by the time ``clock_at_s``; ``deadline_ms`` is the latest end
+    of a lease ever given to this incarnation, on the VM's own clock.
+    """
+
+    name: str
+    listed: ListedVm
+    incarnation: int
+    free: Resources
+    in_registry: bool = True
+    runs: dict[tuple[TaskName, int], Run] = field(default_factory=dict)
+    clock_ms: int = 0
+    clock_at_s: float = 0.0
+    deadline_ms: int = 0
+    answered: bool = False
+    heard_s: float = 0.0
+    seen: int = 0
+    strangers: int = 0
+    avoid_until_s: float = 0.0
+    failures: int = 0
+    failed_jobs: set[str] = field(default_factory=set)
+
+    def make_target(self) -> Target:
+        """Returns where orders to this incarnation go."""
+        return Target(self.name, self.incarnation, self.listed.address)
+
+
+@dataclass(slots=True, eq=False)
+class Fleet:
+    """All VMs, what each team has running, and when this term began."""
+
+    rows: dict[str, VmRow] = field(default_factory=dict)
+    used: dict[str, Resources] = field(default_factory=dict)
+    term_began_s: float = 0.0
+    lease_s: float = 8.0
+
+
+def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
+    """Adds a VM or takes over what the registry says of it."""
+    row = fleet.rows.get(listed.name)
+    if row is None:
+        row = VmRow(listed.name, listed, listed.incarnation, listed.capacity)
+        fleet.rows[listed.name] = row
+        return row
+    if listed.capacity != row.listed.capacity:
+        row.free = add(row.free, subtract(listed.capacity, row.listed.capacity))
+    row.listed = listed
+    row.in_registry = True
+    return row
+
+
+def book_run(fleet: Fleet, run: Run):
+    """Takes the room of a run on its VM and counts it for its team."""
+    row = run.vm
+    row.runs[run.task, run.number] = run
+    row.free = subtract(row.free, run.need)
+    fleet.used[run.team] = add(fleet.used.get(run.team, NOTHING), run.need)
+
+
+def release_run(fleet: Fleet, run: Run) -> bool:
+    """Gives back the room of a run, once."""
+    row = run.vm
+    if row.runs.pop((run.task, run.number), None) is None:
+        return False
+    row.free = add(row.free, run.need)
+    fleet.used[run.team] = subtract(fleet.used[run.team], run.need)
+    return True
+
+
+def observe_clock(row: VmRow, clock_ms: int, now_s: float):
+    """Takes in a reading of a VM's clock that has just arrived."""
+    row.clock_ms = clock_ms
+    row.clock_at_s = now_s
+    row.heard_s = now_s
+
+
+def grant_deadline(fleet: Fleet, row: VmRow, authority_s: float) -> int:
+    """Returns the end of a lease counted from the leader's last proof of its term.
+
+    Counting from the proof and not from now bounds what a leader can grant that was paused between
+    the proof and the order: a successor knows when the last such lease has lapsed.
+    """
+    deadline = row.clock_ms + int((authority_s - row.clock_at_s + fleet.lease_s) * 1000)
+    row.deadline_ms = max(row.deadline_ms, deadline)
+    return deadline
+
+
+def has_lapsed(fleet: Fleet, row: VmRow, now_s: float) -> bool:
+    """Returns whether every lease ever given to a silent VM has certainly lapsed."""
+    if not row.clock_at_s:
+        wait_s = fleet.lease_s * (1 + 2 * CLOCK_DRIFT) + LAPSE_MARGIN_S
+        return now_s - fleet.term_began_s > wait_s
+    slowest_ms = row.clock_ms + (now_s - row.clock_at_s) * 1000 * (1 - CLOCK_DRIFT)
+    lapsed = slowest_ms >= row.deadline_ms + LAPSE_MARGIN_S * 1000
+    if row.answered:
+        return lapsed
+    return lapsed and now_s - fleet.term_began_s > fleet.lease_s * (1 + 2 * CLOCK_DRIFT)
+
+
+def is_usable(row: VmRow, now_s: float) -> bool:
+    """Returns whether a VM may get new work."""
+    return (
+        row.answered
+        and row.in_registry
+        and not row.listed.draining
+        and not row.strangers
+        and now_s - row.heard_s < SILENT_AFTER_S
+        and now_s >= row.avoid_until_s
+    )
+
+
+def reset_incarnation(row: VmRow, incarnation: int):
+    """Forgets the lease of a VM that has started again; its runs must be ended by the caller."""
+    row.incarnation = incarnation
+    row.clock_ms = row.deadline_ms = row.seen = row.strangers = 0
+    row.clock_at_s = row.heard_s = 0.0
+    row.answered = False
+    row.failures = 0
+    row.failed_jobs.clear()
--- /dev/null
+++ b/caroblead/dispatch/orders.py
@@ -0,0 +1,131 @@
+"""Sends the orders of the leader to VMs and takes in their answers."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..core.clock import get_elapsed_s
+from ..core.logsink import log, log_routine
+from .fleet import Fleet, Run, RunPhase, grant_deadline
+from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, VmControl
+
+STOP_RETRY_S = 0.3
+# How long a VM gets no new work after it refused a start for a reason of its own.
+AVOID_S = {StartRefusal.UNHEALTHY: 2.0, StartRefusal.NO_ROOM: 1.0}
+DEFAULT_AVOID_S = 0.5
+
+
+class OrderDesk:
+    """Starts and stops runs on behalf of one term."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        vms: VmControl,
+        term: int,
+        get_proof: Callable[[], float],
+        on_refused: Callable[[Run, StartRefusal], None],
+        on_fenced: Callable[[str], None],
+    ):
+        self.fleet = fleet
+        self.vms = vms
+        self.term = term
+        self.get_proof = get_proof
+        self.on_refused = on_refused
+        self.on_fenced = on_fenced
+        self.tasks: set[asyncio.Task] = set()
+        self.refusals: dict[str, int] = {}
+
+    def spawn(self, coroutine):
+        """Runs an order beside the others."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def start(self, run: Run, payload: str):
+        """Orders a recorded run and takes in the answer."""
+        row = run.vm
+        if not run.wanted or (run.task, run.number) not in row.runs:
+            return
+        run.phase = RunPhase.ORDERED
+        order = StartOrder(
+            run.task,
+            run.number,
+            payload,
+            grant_deadline(self.fleet, row, self.get_proof()),
+            self.term,
+            run.checkpoint,
+            run.ticket,
+        )
+        incarnation = row.incarnation
+        outcome = await self.vms.start(row.make_target(), order)
+        if (run.task, run.number) not in row.runs or row.incarnation != incarnation:
+            return
+        self._take_start_outcome(run, outcome)
+
+    def _take_start_outcome(self, run: Run, outcome):
+        row = run.vm
+        run.settled_s = get_elapsed_s()
+        name = str(run.task)
+        if isinstance(outcome, Started):
+            run.phase = RunPhase.RUNNING
+            log_routine("task:started", task=name, run=run.number, vm=row.name)
+            if not run.wanted:
+                self.stop(run)
+        elif isinstance(outcome, Refused):
+            log("task:refused", task=name, run=run.number, vm=row.name, reason=outcome.reason)
+            self.refusals[outcome.reason] = self.refusals.get(outcome.reason, 0) + 1
+            if outcome.reason is StartRefusal.FENCED:
+                run.phase = RunPhase.UNSURE
+                self.on_fenced(row.name)
+                return
+            if outcome.reason not in (StartRefusal.NO_TICKET, StartRefusal.SUPERSEDED):
+                avoid_s = AVOID_S.get(outcome.reason, DEFAULT_AVOID_S)
+                row.avoid_until_s = run.settled_s + avoid_s
+            self.on_refused(run, outcome.reason)
+        else:
+            run.phase = RunPhase.UNSURE
+            log(
+                "task:start_unanswered",
+                task=name,
+                run=run.number,
+                vm=row.name,
+                detail=outcome.detail,
+            )
+
+    def stop(self, run: Run):
+        """Stops a run, asking again until the VM has answered or the run is gone."""
+        if run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.settled_s = float("inf")
+            self.spawn(self._stop(run))
+
+    async def _stop(self, run: Run):
+        row = run.vm
+        while (run.task, run.number) in row.runs:
+            outcome = await self.vms.stop(row.make_target(), run.task, run.number, self.term)
+            if isinstance(outcome, Started):
+                run.settled_s = get_elapsed_s()
+                log_routine("task:stopped", task=str(run.task), run=run.number, vm=row.name)
+                return
+            if isinstance(outcome, Refused) and outcome.reason is StartRefusal.FENCED:
+                self.on_fenced(row.name)
+                return
+            if isinstance(outcome, NoAnswer):
+                log(
+                    "task:stop_unanswered",
+                    task=str(run.task),
+                    run=run.number,
+                    vm=row.name,
+                    detail=outcome.detail,
+                )
+            await asyncio.sleep(STOP_RETRY_S)
+
+    async def stop_stranger(self, row, running):
+        """Stops a run that a VM lists and the log doesn't know."""
+        log("task:stranger", task=str(running.task), run=running.number, vm=row.name)
+        await self.vms.stop(row.make_target(), running.task, running.number, self.term)
+
+    def close(self):
+        """Drops the orders that are under way."""
+        for task in list(self.tasks):
+            task.cancel()
--- /dev/null
+++ b/caroblead/dispatch/settle.py
@@ -0,0 +1,92 @@
+"""What the end of a run means for its task, its step and its job.
+
+A run that ended as done settles its task for good, and a gang's run settles all its tasks at once.
+A failure counts toward the attempts that the queue allows; every other end only makes the task wait
+again, from its last checkpoint.
+"""
+
+from dataclasses import dataclass, field
+
+from ..jobs.data import FINAL_STATES, JobState
+from .fleet import Run
+from .interface import EndReason
+from .work import JobWork, StepWork, is_job_done, remove_run
+
+# What is left of a gang's run is stopped this long after its first member ended.
+GANG_GRACE_S = 0.4
+
+
+@dataclass(slots=True)
+class Settlement:
+    """What has to be done after an end: runs to stop, and whether there is something to record."""
+
+    changed: bool = False
+    to_stop: list[Run] = field(default_factory=list)
+
+
+def settle_end(step: StepWork, run: Run, reason: EndReason, checkpoint: str) -> Settlement:
+    """Takes in how a run ended that was still wanted; its room is given back by the caller."""
+    settlement = Settlement(changed=True)
+    work = step.work
+    index = run.task.index
+    saved = checkpoint or run.checkpoint
+    remove_run(step, run)
+    if reason is EndReason.DONE and not step.spec.endless:
+        _settle_done(step, run, settlement)
+    elif reason is EndReason.FAILED and not step.spec.endless:
+        _settle_failed(step, run, settlement)
+    if index not in step.part.done and saved and step.spec.checkpoints:
+        indexes = range(step.spec.count) if step.spec.gang else (index,)
+        step.part.checkpoints.update(dict.fromkeys(indexes, saved))
+    if work.state not in FINAL_STATES and is_job_done(work):
+        work.state = JobState.DONE
+    return settlement
+
+
+def _settle_done(step: StepWork, run: Run, settlement: Settlement):
+    indexes = list(range(step.spec.count)) if step.spec.gang else [run.task.index]
+    for index in indexes:
+        step.part.done.add(index)
+        step.waiting.discard(index)
+        step.part.checkpoints.pop(index, None)
+        for other in step.active.pop(index, []):
+            other.wanted = False
+            if not step.spec.gang:
+                settlement.to_stop.append(other)
+
+
+def _settle_failed(step: StepWork, run: Run, settlement: Settlement):
+    place = run.task.index
+    if step.spec.gang:
+        if run.number <= step.last_failed_run:
+            return
+        step.last_failed_run = run.number
+        place = 0
+    failures = step.part.failures.get(place, 0) + 1
+    step.part.failures[place] = failures
+    if failures >= step.work.job.queue.max_attempts:
+        step.work.state = JobState.FAILED
+        settlement.to_stop += drop_runs(step.work)
+
+
+def drop_runs(work: JobWork) -> list[Run]:
+    """Makes nothing of a job wanted any more and returns what still runs."""
+    runs = []
+    for step in work.steps.values():
+        for active in step.active.values():
+            runs += active
+        step.active.clear()
+        step.waiting.clear()
+    for run in runs:
+        run.wanted = False
+    return runs
+
+
+def list_broken_gang(step: StepWork, now_s: float, since: dict) -> list[Run]:
+    """Returns the runs of a gang to stop because a member has been missing for the grace time."""
+    if not step.spec.gang or not step.active or len(step.active) == step.spec.count:
+        since.pop(step.key, None)
+        return []
+    if now_s - since.setdefault(step.key, now_s) < GANG_GRACE_S:
+        return []
+    return [run for runs in step.active.values() for run in runs]
--- /dev/null
+++ b/caroblead/dispatch/watch.py
@@ -0,0 +1,127 @@
+"""Keeps the lease of each VM and compares what it lists with what the leader believes."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..core.clock import get_elapsed_s
+from ..core.logsink import log
+from .fleet import Fleet, Run, RunPhase, VmRow, grant_deadline, observe_clock
+from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
+
+# A renewal waits this long for an end before it comes back by itself.
+WAIT_S = 1.0
+# Ends that come within this time share one look.
+GATHER_S = 0.03
+RETRY_S = 0.25
+# How often a VM is looked at while its ends can't be recorded.
+UNRECORDED_LOOK_S = 0.5
+
+
+class Watch:
+    """Renews one VM's lease again and again and reports what it says."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        row: VmRow,
+        vms: VmControl,
+        term: int,
+        get_proof: Callable[[], float],
+        desk,
+        events,
+    ):
+        self.fleet = fleet
+        self.row = row
+        self.vms = vms
+        self.term = term
+        self.get_proof = get_proof
+        self.desk = desk
+        self.events = events
+        self.looks = 0
+        self.silent = False
+
+    async def run(self):
+        """Looks at the VM until it is cancelled."""
+        while True:
+            sent_s = get_elapsed_s()
+            answer = await self._hold()
+            if isinstance(answer, HoldAnswer):
+                await self._take_lists(answer, sent_s)
+            else:
+                self._take_failure(answer)
+                await asyncio.sleep(RETRY_S)
+
+    async def _hold(self):
+        row = self.row
+        known = row.clock_at_s > 0 and row.answered
+        deadline = grant_deadline(self.fleet, row, self.get_proof()) if known else None
+        self.looks += 1
+        wait_s = WAIT_S if known else 0.0
+        return await self.vms.hold(row.make_target(), self.term, row.seen, deadline, wait_s)
+
+    def _take_failure(self, answer: Refused | NoAnswer):
+        row = self.row
+        if not self.silent:
+            self.silent = True
+            detail = answer.reason if isinstance(answer, Refused) else answer.detail
+            log("vm:lost", vm=row.name, detail=detail, runs=len(row.runs))
+        if isinstance(answer, Refused) and answer.reason is StartRefusal.FENCED:
+            self.events.on_fenced(row.name)
+
+    async def _take_lists(self, answer: HoldAnswer, sent_s: float):
+        row = self.row
+        if self.silent:
+            self.silent = False
+            log("vm:back", vm=row.name, silent_s=get_elapsed_s() - row.heard_s)
+        if answer.incarnation != row.incarnation:
+            self.events.on_reborn(row, answer.incarnation)
+        first = not row.answered
+        observe_clock(row, answer.clock_ms, get_elapsed_s())
+        row.answered = True
+        seen = row.seen
+        for ended in answer.ended:
+            seen = max(seen, ended.serial)
+            self.events.on_end(row, ended)
+        self._compare(answer, sent_s)
+        if first:
+            self.events.on_room()
+        if seen > row.seen:
+            await self.events.wait_recorded(UNRECORDED_LOOK_S)
+            if self.events.is_recorded():
+                row.seen = seen
+                await asyncio.sleep(GATHER_S)
+
+    def _compare(self, answer: HoldAnswer, sent_s: float):
+        row = self.row
+        listed = {(item.task, item.number): item for item in answer.running}
+        ended = {(item.task, item.number) for item in answer.ended}
+        for place, run in list(row.runs.items()):
+            item = listed.pop(place, None)
+            if item is not None:
+                self._take_running(run, item)
+            elif place not in ended:
+                self._take_absent(run, sent_s)
+        row.strangers = len(listed)
+        for item in listed.values():
+            self.desk.spawn(self.desk.stop_stranger(row, item))
+
+    def _take_running(self, run: Run, item):
+        run.percent = item.percent
+        if item.checkpoint:
+            run.checkpoint = item.checkpoint
+        if run.phase in (RunPhase.UNSURE, RunPhase.INHERITED):
+            run.phase = RunPhase.RUNNING
+            run.settled_s = get_elapsed_s()
+        if not run.wanted:
+            self.desk.stop(run)
+
+    def _take_absent(self, run: Run, sent_s: float):
+        if run.phase is RunPhase.INHERITED:
+            # The VM has seen this term, so the order of a former one can't take effect any more.
+            self.events.on_gone(run, "never started")
+        elif run.phase is RunPhase.UNSURE:
+            self.desk.stop(run)
+        elif run.phase is RunPhase.RUNNING and run.settled_s < sent_s:
+            self.events.on_gone(run, "not listed")
+        elif run.phase is RunPhase.STOPPING and run.settled_s < sent_s:
+            self.events.on_gone(run, "stopped before it started")
--- a/caroblead/events/timeline.py
+++ b/caroblead/events/timeline.py
@@ -14,30 +14,12 @@
 from pathlib import Path
 
 from ..core.outcome import Checked, Fault, Reason, Step
+from .clock import LogicalClock
 from .event import EVENTS
 
 MEMORY_EVENTS = 200_000
 
 
-class LogicalClock:
-    """A counter that grows with each message and is never behind what was heard."""
-
-    __slots__ = ("value",)
-
-    def __init__(self):
-        self.value = 0
-
-    def advance(self) -> int:
-        """Moves on by one and returns the new value, for a message or an event."""
-        self.value += 1
-        return self.value
-
-    def observe(self, heard: int | None):
-        """Takes over the clock of a message that was received."""
-        if heard and heard > self.value:
-            self.value = heard
-
-
 @dataclass(slots=True, frozen=True)
 class Record:
     """An event with its place in the history."""
--- a/caroblead/fleet/follower.py
+++ b/caroblead/fleet/follower.py
@@ -29,9 +29,9 @@
 from ..config.ticket import Ticket, read_ticket
 from ..core.outcome import Fault, Reason, Step
 from ..events.event import TicketInForce
-from ..platform.interface import Log, LogError
 from ..wire.call import CallError
 from ..wire.gen.ttypes import FetchConfig
+from .interface import Log, LogError
 
 STREAM = "tickets"
 FETCH_TIMEOUT_S = 1.0
--- a/caroblead/fleet/process.py
+++ b/caroblead/fleet/process.py
@@ -5,9 +5,9 @@
 from ..config.setting import NodeSettings, SiteSettings
 from ..core.timer import TimerService
 from ..events.timeline import Timeline
-from ..platform.client import HttpPlatform
 from ..wire.call import Caller, LinkSwitch
 from ..wire.gen import ttypes
+from .client import HttpPlatform
 from .follower import Follower
 from .membership import Members, seed_members
 
--- /dev/null
+++ b/caroblead/node/election.py
@@ -0,0 +1,114 @@
+"""Elects the leader through the log.
+
+Whoever finds the leader silent appends a record of the next term. The log refuses appends of an
+earlier term from then on, and of several records of one term only the first is kept, so the log's
+order decides. Silence is judged only by what an answered read has shown.
+"""
+
+import random
+import secrets
+from collections.abc import Callable
+
+from transitions import Machine
+
+from ..core.clock import get_elapsed_s
+from ..core.logsink import log
+from ..dispatch.interface import Fence, FencedError, KeyedLog
+from ..fleet.interface import LogError
+from ..jobs.record import KeyedRecord, RecordKind, Term, encode_term, make_key
+from .tail import Tail
+
+# A leader that shows nothing in the log for this long is replaced.
+SILENCE_S = 1.4
+# Nodes try one after another, so that one of them usually wins without a rival.
+MAX_JITTER_S = 0.4
+RESIGNED_JITTER_S = 0.15
+APPEND_TIMEOUT_S = 1.0
+CONSIDER_S = 0.05
+
+STATES = ("following", "standing", "leading", "leaving")
+
+
+class Election:
+    """One node's part in choosing the leader; ``state`` is one of :data:`STATES`."""
+
+    def __init__(self, node: str, keyed_log: KeyedLog, tail: Tail, seed: int):
+        self.node = node
+        self.incarnation = f"{node}~{secrets.token_hex(4)}"
+        self.log = keyed_log
+        self.tail = tail
+        self.random = random.Random(seed)
+        self.heard_s = get_elapsed_s()
+        self.term: Term | None = None
+        self.resigned = False
+        self.jitter_s = self._draw_jitter()
+        self.tried_number = 0
+        self.tried_s = 0.0
+        self.on_won: Callable[[int, float], None] = lambda number, proved_s: None
+        self.on_displaced: Callable[[str], None] = lambda detail: None
+        self.machine = Machine(self, states=STATES, initial="following", auto_transitions=False)
+        self.machine.add_transition("stand", "following", "standing")
+        self.machine.add_transition("win", ["standing", "following"], "leading")
+        self.machine.add_transition("step_back", ["standing", "leading"], "following")
+        self.machine.add_transition("leave", "*", "leaving")
+
+    def _draw_jitter(self) -> float:
+        return self.random.random() * MAX_JITTER_S
+
+    def hear_leader(self):
+        """Takes in that the leader showed itself in the log."""
+        self.heard_s = get_elapsed_s()
+
+    def hear_resignation(self):
+        """Takes in that the leader has ended its term."""
+        self.resigned = True
+        self.jitter_s = self.random.random() * RESIGNED_JITTER_S
+
+    def hear_term(self, term: Term):
+        """Takes in that a term has begun, of this node or another."""
+        self.term = term
+        self.resigned = False
+        self.hear_leader()
+        self.jitter_s = self._draw_jitter()
+        if term.incarnation == self.incarnation and self.state != "leaving":
+            if self.state != "leading":
+                self.win()
+            log("election:won", term=term.number)
+            self.on_won(term.number, self.tried_s)
+            return
+        log("election:term_heard", term=term.number, leader=term.node)
+        if self.state == "leading":
+            self.step_back()
+            self.on_displaced(f"{term.node} began term {term.number}")
+
+    def is_due(self, now_s: float) -> bool:
+        """Returns whether this node should try to lead now."""
+        if self.state != "following" or not self.tail.caught_up:
+            return False
+        if self.term is None or self.resigned:
+            return now_s - self.heard_s >= self.jitter_s
+        limit_s = SILENCE_S + self.jitter_s
+        # The log itself must have been heard after the leader should have shown itself.
+        return self.tail.answered_s - self.heard_s >= limit_s
+
+    async def consider(self):
+        """Tries to begin a term if the leader is silent."""
+        if not self.is_due(get_elapsed_s()):
+            return
+        number = (self.term.number if self.term else 0) + 1
+        if number != self.tried_number:
+            self.tried_number, self.tried_s = number, get_elapsed_s()
+        self.stand()
+        silent_s = round(get_elapsed_s() - self.heard_s, 3)
+        log("election:standing", term=number, silent_s=silent_s, resigned=self.resigned)
+        term = Term(number, self.node, self.incarnation)
+        record = KeyedRecord(make_key(RecordKind.TERM, "leader"), encode_term(term))
+        try:
+            await self.log.append([record], Fence(number, 0), APPEND_TIMEOUT_S)
+        except (LogError, FencedError) as error:
+            log("election:not_won", term=number, error=str(error))
+        # Won or not, the log tells; until then this node goes on following it.
+        if self.state == "standing":
+            self.step_back()
+            self.heard_s = get_elapsed_s()
+            self.jitter_s = self._draw_jitter()
--- /dev/null
+++ b/caroblead/node/registry.py
@@ -0,0 +1,42 @@
+"""The VMs that have registered themselves, as this node last read them."""
+
+from collections.abc import Callable
+
+from ..core.logsink import log
+from ..dispatch.interface import Batch, ListedVm
+
+
+class Registry:
+    """Takes in entries of VMs; an entry that can't be read changes nothing."""
+
+    def __init__(self, decode: Callable[[str, bytes], ListedVm]):
+        self.decode = decode
+        self.vms: dict[str, ListedVm] = {}
+        self.on_change: Callable[[], None] = lambda: None
+
+    def consume(self, batch: Batch, complete: bool):
+        """Takes in records of the registry's log; a complete batch replaces all entries."""
+        before = self.vms
+        found = {} if complete else dict(before)
+        for record in batch.records:
+            if not record.value:
+                found.pop(record.key, None)
+                continue
+            try:
+                found[record.key] = self.decode(record.key, record.value)
+            except ValueError as error:
+                log("registry:unreadable", entry=record.key, error=str(error))
+        self.vms = found
+        self._log_changes(before, found)
+        if before != found:
+            self.on_change()
+
+    def _log_changes(self, before: dict[str, ListedVm], found: dict[str, ListedVm]):
+        for name in before.keys() - found.keys():
+            log("registry:vm_gone", vm=name)
+        for name, vm in found.items():
+            old = before.get(name)
+            if old is None or old.incarnation != vm.incarnation:
+                log("registry:vm_listed", vm=name, incarnation=vm.incarnation, zone=vm.zone)
+            elif old.draining != vm.draining:
+                log("registry:vm_draining", vm=name, draining=vm.draining)
--- /dev/null
+++ b/caroblead/node/tail.py
@@ -0,0 +1,130 @@
+"""Follows a keyed log: reads its records in order and hands each to a consumer.
+
+A follower that needn't know at once pauses between reads, so that records which come close
+together cost one read. Whoever needs the present state ends the pause with :meth:`Tail.refresh`.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from ..core.clock import get_elapsed_s
+from ..core.logsink import log
+from ..dispatch.interface import Batch, HistoryGoneError, KeyedLog
+from ..fleet.interface import LogError
+
+RETRY_S = 0.1
+# How long a caller waits for a read that is under way.
+REFRESH_S = 0.05
+
+
+class Tail:
+    """The reader of one keyed log.
+
+    ``read_s`` is when the last answered read was sent; ``caught_up`` tells that it reached the end.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        keyed_log: KeyedLog,
+        consume: Callable[[Batch, bool], None],
+        wait_s: float,
+        pause_s: float,
+    ):
+        self.name = name
+        self.log = keyed_log
+        self.consume = consume
+        self.wait_s = wait_s
+        self.pause_s = pause_s
+        self.offset: int | None = None
+        self.read_s = 0.0
+        self.answered_s = 0.0
+        self.caught_up = False
+        self.lost = False
+        self.hurry = asyncio.Event()
+        self.pausing = False
+        self.answered = asyncio.Event()
+
+    async def run(self):
+        """Reads until it is cancelled."""
+        while True:
+            try:
+                await self._read_once()
+            except HistoryGoneError as error:
+                log("log:history_gone", log=self.name, offset=self.offset, detail=str(error))
+                self.offset = None
+            except LogError as error:
+                self._take_failure(error)
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_once(self):
+        sent_s = get_elapsed_s()
+        if self.offset is None:
+            batch = await self.log.read_newest()
+            complete = True
+        else:
+            batch = await self.log.read(self.offset, self.wait_s)
+            complete = False
+        if self.lost:
+            self.lost = False
+            log("log:back", log=self.name, silent_s=get_elapsed_s() - self.answered_s)
+        self.consume(batch, complete)
+        self.offset = batch.next_offset
+        self.read_s = sent_s
+        self.answered_s = get_elapsed_s()
+        self.caught_up = batch.next_offset >= batch.end_offset
+        self._wake_waiters()
+        if self.caught_up and not complete:
+            await self._pause()
+
+    def _wake_waiters(self):
+        self.answered.set()
+        self.answered = asyncio.Event()
+
+    async def _pause(self):
+        if self.pause_s <= 0:
+            return
+        self.hurry.clear()
+        self.pausing = True
+        try:
+            await asyncio.wait_for(self.hurry.wait(), self.pause_s)
+        except TimeoutError:
+            pass
+        self.pausing = False
+
+    def _take_failure(self, error: LogError):
+        if not self.lost:
+            self.lost = True
+            log("log:lost", log=self.name, error=str(error))
+
+    async def refresh(self):
+        """Returns once the state is as new as can be had quickly.
+
+        While a read is waiting at the log, any new record comes at once and nothing needs doing.
+        """
+        if not self.pausing:
+            return
+        answered = self.answered
+        self.hurry.set()
+        try:
+            await asyncio.wait_for(answered.wait(), REFRESH_S)
+        except TimeoutError:
+            pass
+
+    async def catch_up(self, timeout_s: float) -> bool:
+        """Returns whether everything that stood in the log at the call has been consumed."""
+        started_s = get_elapsed_s()
+        while not (self.caught_up and self.read_s >= started_s):
+            left_s = started_s + timeout_s - get_elapsed_s()
+            if left_s <= 0:
+                return False
+            self.hurry.set()
+            try:
+                await asyncio.wait_for(self.answered.wait(), left_s)
+            except TimeoutError:
+                return False
+        return True
+
+    def get_age_s(self) -> float:
+        """Returns how old the knowledge of this log is: the time since the last read was sent."""
+        return get_elapsed_s() - self.read_s
--- a/caroblead/placer/grant.py
+++ b/caroblead/placer/grant.py
@@ -12,7 +12,7 @@
 
 from ..config.state import ConfigState, find_first_version, find_limit_version, list_shards
 from ..core.outcome import Answered, Fault, NotRun, Outcome, Reason, Step
-from ..platform.interface import Log, LogError
+from ..fleet.interface import Log, LogError
 from ..policy.cell import put_team
 from ..policy.escrow import (
     Claim,
--- a/caroblead/placer/job.py
+++ b/caroblead/placer/job.py
@@ -17,7 +17,7 @@
 from ..core.outcome import Answered, Fault, NotRun, Outcome, Reason, Step, Unknown
 from ..core.resource import Resources
 from ..events.event import AttemptEnded, JobAccepted, JobEnded
-from ..platform.interface import LogError, RunState
+from ..fleet.interface import LogError, RunState
 from ..policy.admission import admit_job
 from ..policy.cell import end_task, enqueue_task, give_back, list_open_tasks
 from ..policy.gang import release_reservation
--- a/caroblead/placer/lease.py
+++ b/caroblead/placer/lease.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from ..core.data import TaskState, Vm
-from ..platform.interface import LeaseAnswer, LeaseCall, ListedVm, StartTask, VmAccess, VmError
+from ..fleet.interface import LeaseAnswer, LeaseCall, ListedVm, StartTask, VmAccess, VmError
 
 # A lease is given up this long before its end, for clocks that run at different speeds.
 SAFETY_FRACTION = 0.05
--- a/caroblead/placer/ownership.py
+++ b/caroblead/placer/ownership.py
@@ -14,8 +14,8 @@
 from ..core.data import Vm, VmState
 from ..core.outcome import Reason
 from ..events.event import LeaseLapsed, LeaseTaken, OwnerChanged
+from ..fleet.interface import LeaseAnswer, ListedVm
 from ..fleet.membership import rank_node
-from ..platform.interface import LeaseAnswer, ListedVm
 from ..policy.cell import add_vm, remove_vm, set_vm_state
 from .job import flush_ends
 from .jobbook import JobBook, write_vms
--- a/caroblead/placer/program.py
+++ b/caroblead/placer/program.py
@@ -13,6 +13,7 @@
 from ..core.timer import guard
 from ..events.event import DrainStarted, ProcessStarted, ProcessStopped
 from ..events.timeline import Timeline
+from ..fleet.interface import LogError, VmError
 from ..fleet.membership import (
     count_far_heartbeats,
     find_owner,
@@ -22,7 +23,6 @@
     rank_members,
 )
 from ..fleet.process import NodeProcess
-from ..platform.interface import LogError, VmError
 from ..wire.call import Address, CallError, WireServer
 from ..wire.convert import ANSWERED, to_reply
 from ..wire.gen import ttypes
--- a/caroblead/placer/reconcile.py
+++ b/caroblead/placer/reconcile.py
@@ -10,7 +10,7 @@
 from ..core.data import Task, TaskState, Team, Urgent, Vm
 from ..core.outcome import Reason, Step
 from ..core.resource import Resources
-from ..platform.interface import LeaseAnswer, RunState, VmTask
+from ..fleet.interface import LeaseAnswer, RunState, VmTask
 from ..policy.cell import attach, give_back, put_team, rebook
 from ..policy.relief import Checkpoint, Throttle, Use, choose_relief
 from ..policy.sizing import learn_use
--- a/caroblead/placer/recorder.py
+++ b/caroblead/placer/recorder.py
@@ -14,7 +14,7 @@
 import eliot
 
 from ..core.timer import guard
-from ..platform.interface import Log, LogError
+from ..fleet.interface import Log, LogError
 
 SETTLE_TRIES = 4
 SETTLE_PAUSE_S = 0.25
--- a/caroblead/placer/request.py
+++ b/caroblead/placer/request.py
@@ -11,7 +11,7 @@
 from ..core.resource import Resources
 from ..core.timer import guard
 from ..events.event import AttemptEnded, AttemptStarted, Placed
-from ..platform.interface import EndpointRequest, StartTask, VmError
+from ..fleet.interface import EndpointRequest, StartTask, VmError
 from ..policy.admission import SERVICE_WEIGHT, admit_request, drop_expired
 from ..policy.cell import end_task, enqueue_task, give_back, set_vm_state
 from ..policy.choice import observe_latency
--- a/caroblead/placer/shard.py
+++ b/caroblead/placer/shard.py
@@ -17,7 +17,7 @@
 from ..core.outcome import Fault, NotRun, Outcome, Unknown
 from ..events.timeline import Timeline
 from ..fleet.follower import Follower
-from ..platform.interface import ListedVm, Log
+from ..fleet.interface import ListedVm, Log
 from ..policy.cell import Cell
 from .jobbook import JobBook
 from .lease import Holder, Lease
--- a/caroblead/platform/__init__.py
+++ b/caroblead/platform/__init__.py
@@ -1,5 +1,5 @@
-"""Adapters towards the users' platform: its log, its VM list, its workers and its endpoints.
+"""Adapters towards the operators' platform: its store, its VMs, its advice and its callers.
 
-Only the modules here know the shapes of the platform's protocols. The rest of the code sees the
-types of :mod:`caroblead.platform.interface`.
+Only the modules here know the platform's names, paths and headers. Everything else sees the types
+of :mod:`caroblead.jobs` and :mod:`caroblead.dispatch.interface`.
 """
--- /dev/null
+++ b/caroblead/platform/frontend.py
@@ -0,0 +1,152 @@
+"""Speaks the platform's HTTP with callers and hands their calls to the intake."""
+
+import asyncio
+
+import orjson
+from aiohttp import web
+
+from ..core.logsink import log
+from ..core.outcome import Reason
+from ..node.intake import Accepted, Cancelled, Counted, InDoubt, Intake, Rejected, Shown
+from .jobs import decode_spec, encode_state
+
+ID_LENGTH = 16
+HEX_DIGITS = frozenset("0123456789abcdef")
+DEFAULT_BUDGET_S = 3.0
+STATUSES = {
+    Reason.BAD_INPUT: 400,
+    Reason.NO_KEY: 401,
+    Reason.BAD_KEY: 401,
+    Reason.NO_SUCH_QUEUE: 404,
+    Reason.NO_SUCH_JOB: 410,
+    Reason.TOO_LARGE: 413,
+    Reason.QUEUE_FULL: 429,
+}
+IN_DOUBT_STATUS = 504
+DEFAULT_STATUS = 503
+
+
+class Frontend:
+    """The HTTP interface of a node towards callers and the balancer."""
+
+    def __init__(self, intake: Intake, is_ready, metrics):
+        self.intake = intake
+        self.is_ready = is_ready
+        self.metrics = metrics
+        self.closing = False
+        self.open_calls = 0
+        self.runners: list[web.ServerRunner] = []
+
+    async def start(self, callers: str, readiness: str):
+        """Listens for callers and for the balancer's readiness checks."""
+        await self._listen(callers, self._serve_caller)
+        if readiness != callers:
+            await self._listen(readiness, self._serve_readiness)
+
+    async def _listen(self, address: str, handler):
+        host, port = address.rsplit(":", 1)
+        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        self.runners.append(runner)
+
+    async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    async def _serve_caller(self, request: web.BaseRequest) -> web.Response:
+        if request.path == "/api/readyz":
+            return await self._serve_readiness(request)
+        self.open_calls += 1
+        started_s = asyncio.get_running_loop().time()
+        try:
+            response = await self._answer(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log("call:failed", method=request.method, error=f"{type(error).__name__}: {error}")
+            response = web.Response(status=500)
+        finally:
+            self.open_calls -= 1
+        took_s = asyncio.get_running_loop().time() - started_s
+        self.metrics.record_call(request.method, response.status, took_s)
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        host = request.headers.get("Host", "").split(":")[0]
+        path = request.path
+        admission = self.intake.admit(host, path, _read_key(request))
+        if isinstance(admission, Rejected):
+            await request.read()
+            return _write_rejection(admission)
+        job_id = path[len(admission.queue.path) :]
+        if request.method == "GET" and not job_id:
+            return _write(await self.intake.count(admission.queue))
+        if len(job_id) != ID_LENGTH or not HEX_DIGITS.issuperset(job_id.lower()):
+            return _write_error(400, "the id must have 16 hexadecimal digits")
+        if request.method == "GET":
+            return _write(await self.intake.show(job_id))
+        if request.method == "DELETE":
+            return _write(await self.intake.cancel(job_id, _read_budget_s(request)))
+        if request.method == "POST":
+            return await self._submit(request, admission, job_id)
+        return _write_error(405, "POST, GET or DELETE")
+
+    async def _submit(self, request, admission, job_id: str) -> web.Response:
+        budget_s = _read_budget_s(request)
+        body = await request.read()
+        limit = self.intake.book.current.max_body_bytes
+        if len(body) > limit:
+            return _write_error(413, f"the body must have at most {limit} bytes")
+        try:
+            spec = decode_spec(body)
+        except ValueError as error:
+            return _write_error(400, str(error))
+        return _write(await self.intake.submit(admission, job_id, spec, budget_s))
+
+    async def stop_listening(self):
+        """Takes no new connections and closes the idle ones."""
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+def _read_key(request: web.BaseRequest) -> str | None:
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    return key.strip() if scheme == "Bearer" else None
+
+
+def _read_budget_s(request: web.BaseRequest) -> float:
+    """Returns how long the caller waits for the answer."""
+    try:
+        return max(0.0, float(request.headers.get("Deadline-Ms", "")) / 1000)
+    except ValueError:
+        return DEFAULT_BUDGET_S
+
+
+def _write(outcome) -> web.Response:
+    if isinstance(outcome, Accepted | Cancelled):
+        return _write_json(200, b"{}")
+    if isinstance(outcome, Shown):
+        return _write_json(200, encode_state(outcome.state))
+    if isinstance(outcome, Counted):
+        return _write_json(200, orjson.dumps({"waiting": outcome.waiting}))
+    if isinstance(outcome, InDoubt):
+        return _write_error(IN_DOUBT_STATUS, outcome.fault.detail)
+    return _write_rejection(outcome)
+
+
+def _write_rejection(rejected: Rejected) -> web.Response:
+    fault = rejected.fault
+    response = _write_error(STATUSES.get(fault.reason, DEFAULT_STATUS), fault.detail)
+    if fault.retry_after_s:
+        response.headers["Retry-After"] = str(max(1, round(fault.retry_after_s)))
+    return response
+
+
+def _write_error(status: int, detail: str) -> web.Response:
+    return _write_json(status, orjson.dumps({"error": detail}))
+
+
+def _write_json(status: int, body: bytes) -> web.Response:
+    return web.Response(status=status, body=body, content_type="application/json")
--- /dev/null
+++ b/caroblead/platform/http.py
@@ -0,0 +1,79 @@
+"""One HTTP client for all calls to the platform."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import orjson
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 60.0
+CONNECTIONS_PER_HOST = 8
+CLIENT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError)
+
+
+class CallFailedError(Exception):
+    """A call without an answer; ``sent`` tells whether the platform may have acted."""
+
+    def __init__(self, detail: str, sent: bool):
+        super().__init__(detail)
+        self.sent = sent
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+    def decode(self) -> dict:
+        """Returns the body as JSON; an unreadable one is a call that failed after it was sent."""
+        try:
+            value = orjson.loads(self.body)
+        except ValueError as error:
+            raise CallFailedError(f"unreadable answer: {error}", True) from None
+        if not isinstance(value, dict):
+            raise CallFailedError("answer is not an object", True)
+        return value
+
+
+class HttpClient:
+    """Sends calls over kept connections; one that stays silent past its time limit is closed."""
+
+    def __init__(self, connections_per_host: int = CONNECTIONS_PER_HOST):
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=connections_per_host,
+                keepalive_timeout=IDLE_CONNECTION_S,
+                use_dns_cache=False,
+            ),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def call(
+        self, method: str, url: str, timeout_s: float, body: bytes | None = None, headers=None
+    ) -> Reply:
+        """Makes a call and returns its reply, or raises :class:`CallFailedError`."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self.session.request(
+                method, url, data=body, headers=headers, timeout=timeout
+            ) as response:
+                return Reply(response.status, await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise CallFailedError(f"can't connect: {type(error).__name__}", False) from None
+        except CLIENT_ERRORS as error:
+            raise CallFailedError(f"no answer: {type(error).__name__}", True) from None
+
+    async def post(self, url: str, message: dict, timeout_s: float, headers=None) -> Reply:
+        """Posts a message as JSON."""
+        merged = {"Content-Type": "application/json", **(headers or {})}
+        return await self.call("POST", url, timeout_s, orjson.dumps(message), merged)
+
+    async def close(self):
+        """Closes all connections."""
+        await self.session.close()
--- a/caroblead/standin/fleet.py
+++ b/caroblead/standin/fleet.py
@@ -11,7 +11,7 @@
 from ..core.resource import Resources
 from ..events.event import VmFailed, VmLeaving, VmListed, WorkEnded, WorkStarted
 from ..events.timeline import Timeline
-from ..platform.interface import RunState
+from ..fleet.interface import RunState
 
 # Measured use is reported this often, and only when it fills this part of a VM.
 REPORT_INTERVAL_S = 2.0
--- a/caroblead/standin/server.py
+++ b/caroblead/standin/server.py
@@ -22,7 +22,7 @@
 from ..core.timer import TimerService
 from ..events.event import ListDown, ListUp
 from ..events.timeline import Timeline
-from ..platform.client import CLOCK_HEADER, NODE_HEADER
+from ..fleet.client import CLOCK_HEADER, NODE_HEADER
 from .fleet import build_fleet
 from .log import LogStore
 
--- a/caroblead/wire/frame.py
+++ b/caroblead/wire/frame.py
@@ -25,6 +25,8 @@
     9: ttypes.Handover,
     10: ttypes.MoveGrant,
     11: ttypes.Drain,
+    12: ttypes.AskAdvice,
+    13: ttypes.AdviceReply,
 }
 KIND_NUMBERS = {message: number for number, message in MESSAGES.items()}
 
--- a/caroblead/wire/gen/ttypes.py
+++ b/caroblead/wire/gen/ttypes.py
@@ -1821,6 +1821,263 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class AskAdvice(object):
+    """
+    Attributes:
+     - step
+     - vms
+
+    """
+
+    __slots__ = (
+        'step',
+        'vms',
+    )
+
+
+    def __init__(self, step=None, vms=None,):
+        self.step = step
+        self.vms = vms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.step = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.vms = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.vms.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskAdvice')
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.STRING, 1)
+            oprot.writeString(self.step.encode('utf-8') if sys.version_info[0] == 2 else self.step)
+            oprot.writeFieldEnd()
+        if self.vms is not None:
+            oprot.writeFieldBegin('vms', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.vms))
+            for iter20 in self.vms:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Ticket(object):
+    """
+    Attributes:
+     - vm
+     - ticket
+
+    """
+
+    __slots__ = (
+        'vm',
+        'ticket',
+    )
+
+
+    def __init__(self, vm=None, ticket=None,):
+        self.vm = vm
+        self.ticket = ticket
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.ticket = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Ticket')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.STRING, 2)
+            oprot.writeString(self.ticket.encode('utf-8') if sys.version_info[0] == 2 else self.ticket)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdviceReply(object):
+    """
+    Attributes:
+     - answered
+     - tickets
+
+    """
+
+    __slots__ = (
+        'answered',
+        'tickets',
+    )
+
+
+    def __init__(self, answered=None, tickets=None,):
+        self.answered = answered
+        self.tickets = tickets
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.answered = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.tickets = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Ticket()
+                        _elem26.read(iprot)
+                        self.tickets.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdviceReply')
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.BOOL, 1)
+            oprot.writeBool(self.answered)
+            oprot.writeFieldEnd()
+        if self.tickets is not None:
+            oprot.writeFieldBegin('tickets', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.tickets))
+            for iter27 in self.tickets:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1960,5 +2217,23 @@
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.STRING, 'node', 'UTF8', None, ),  # 3
 )
+all_structs.append(AskAdvice)
+AskAdvice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'step', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'vms', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(Ticket)
+Ticket.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'ticket', 'UTF8', None, ),  # 2
+)
+all_structs.append(AdviceReply)
+AdviceReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'answered', None, None, ),  # 1
+    (2, TType.LIST, 'tickets', (TType.STRUCT, [Ticket, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/caroblead/wire/messages.thrift
+++ b/caroblead/wire/messages.thrift
@@ -126,3 +126,18 @@
   2: i64 epoch,
   3: string node,
 }
+
+struct AskAdvice {
+  1: string step,
+  2: list<string> vms,
+}
+
+struct Ticket {
+  1: string vm,
+  2: string ticket,
+}
+
+struct AdviceReply {
+  1: bool answered,
+  2: list<Ticket> tickets,
+}
