Settle unanswered orders by a look, hedge advice, elect sooner after a restart of the leader

Cause: a lost answer to a start cost 3 s and more (1 s to notice, up to 1 s until the next list, a stop, another list); advice through a cut node cost 1 s each time; after a power loss of all nodes everybody waited out the silence of a leader that could not be there any more.

--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -18,7 +18,9 @@
 from .interface import Fence, FencedError, KeyedLog
 from .work import JobWork, snapshot_progress
 
-BEAT_S = 0.4
+BEAT_S = 0.25
+# Decisions that come within this time share an append.
+GATHER_S = 0.008
 APPEND_TIMEOUT_S = 1.5
 RETRY_S = 0.05
 MAX_JOBS_PER_APPEND = 300
@@ -70,6 +72,7 @@
         while True:
             try:
                 await asyncio.wait_for(self.wake.wait(), BEAT_S)
+                await asyncio.sleep(GATHER_S)
             except TimeoutError:
                 pass
             self.wake.clear()
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -15,7 +15,7 @@
 # Added to each proof that a lease has lapsed, for rounding and for the delay of timers.
 LAPSE_MARGIN_S = 0.1
 # A VM that has not answered for this long gets no new work.
-SILENT_AFTER_S = 1.5
+SILENT_AFTER_S = 1.3
 
 
 class RunPhase(enum.StrEnum):
@@ -47,6 +47,7 @@
     need: Resources
     phase: RunPhase = RunPhase.RECORDING
     wanted: bool = True
+    unanswered: bool = False
     ticket: str = ""
     settled_s: float = 0.0
     started_s: float = 0.0
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -100,6 +100,7 @@
             lambda: self.commit.proved_s,
             self._take_refusal,
             self.on_fenced,
+            self._look,
         )
         self.tasks: list[asyncio.Task] = []
         self.timer = None
@@ -234,6 +235,11 @@
         self.looks[row.name] = watch
         self.watches[row.name] = asyncio.create_task(guard(watch.run()))
 
+    async def _look(self, row: VmRow):
+        watch = self.looks.get(row.name)
+        if watch is not None and row.answered:
+            await watch.look()
+
     def _remove_row(self, row: VmRow):
         del self.fleet.rows[row.name]
         task = self.watches.pop(row.name, None)
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -1,14 +1,15 @@
 """Sends the orders of the leader to VMs and takes in their answers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
-from .fleet import Fleet, Run, RunPhase, grant_deadline
+from ..core.timer import guard
+from .fleet import Fleet, Run, RunPhase, VmRow, grant_deadline
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, VmControl
 
-STOP_RETRY_S = 0.3
+STOP_RETRY_S = 0.1
 # How long a VM gets no new work after it refused a start for a reason of its own.
 AVOID_S = {StartRefusal.UNHEALTHY: 2.0, StartRefusal.NO_ROOM: 1.0}
 DEFAULT_AVOID_S = 0.5
@@ -25,6 +26,7 @@
         get_proof: Callable[[], float],
         on_refused: Callable[[Run, StartRefusal], None],
         on_fenced: Callable[[str], None],
+        look: Callable[[VmRow], Awaitable[None]],
     ):
         self.fleet = fleet
         self.vms = vms
@@ -32,6 +34,7 @@
         self.get_proof = get_proof
         self.on_refused = on_refused
         self.on_fenced = on_fenced
+        self.look = look
         self.tasks: set[asyncio.Task] = set()
         self.refusals: dict[str, int] = {}
 
@@ -84,6 +87,7 @@
             self.on_refused(run, outcome.reason)
         else:
             run.phase = RunPhase.UNSURE
+            run.unanswered = True
             log(
                 "task:start_unanswered",
                 task=name,
@@ -91,6 +95,8 @@
                 vm=row.name,
                 detail=outcome.detail,
             )
+            # The lists tell whether it runs; if it doesn't, it is kept from starting late.
+            self.spawn(guard(self.look(row)))
 
     def stop(self, run: Run):
         """Stops a run, asking again until the VM has answered or the run is gone."""
@@ -106,6 +112,8 @@
             if isinstance(outcome, Started):
                 run.settled_s = get_elapsed_s()
                 log_routine("task:stopped", task=str(run.task), run=run.number, vm=row.name)
+                if run.unanswered:
+                    await self.look(row)
                 return
             if isinstance(outcome, Refused) and outcome.reason is StartRefusal.FENCED:
                 self.on_fenced(row.name)
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -9,10 +9,10 @@
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
 
 # A renewal waits this long for an end before it comes back by itself.
-WAIT_S = 1.0
+WAIT_S = 0.7
 # Ends that come within this time share one look.
-GATHER_S = 0.03
-RETRY_S = 0.25
+GATHER_S = 0.05
+RETRY_S = 0.1
 # How often a VM is looked at while its ends can't be recorded.
 UNRECORDED_LOOK_S = 0.5
 
@@ -51,12 +51,19 @@
                 self._take_failure(answer)
                 await asyncio.sleep(RETRY_S)
 
-    async def _hold(self):
+    async def look(self):
+        """Looks at the VM at once, beside the renewal that may be waiting there."""
+        sent_s = get_elapsed_s()
+        answer = await self._hold(wait=False)
+        if isinstance(answer, HoldAnswer):
+            await self._take_lists(answer, sent_s)
+
+    async def _hold(self, wait: bool = True):
         row = self.row
         known = row.clock_at_s > 0 and row.answered
         deadline = grant_deadline(self.fleet, row, self.get_proof()) if known else None
         self.looks += 1
-        wait_s = WAIT_S if known else 0.0
+        wait_s = WAIT_S if known and wait else 0.0
         return await self.vms.hold(row.make_target(), self.term, row.seen, deadline, wait_s)
 
     def _take_failure(self, answer: Refused | NoAnswer):
--- a/caroblead/node/appender.py
+++ b/caroblead/node/appender.py
@@ -14,10 +14,12 @@
 from ..fleet.interface import LogError
 from ..jobs.record import KeyedRecord
 
-APPEND_TIMEOUT_S = 1.0
+APPEND_TIMEOUT_S = 0.6
 RETRY_S = 0.05
 # A log that turns every append down for this long won't take it in time for most callers.
 GIVE_UP_REFUSED_S = 0.4
+# A caller is told so when the log has not answered for this long, and can try another node.
+GIVE_UP_UNANSWERED_S = 1.2
 MAX_BATCH_RECORDS = 200
 
 
@@ -103,6 +105,8 @@
                 _resolve(entry, Stored.UNKNOWN if entry.sent else Stored.NO)
             elif not entry.sent and now_s - entry.first_try_s >= GIVE_UP_REFUSED_S:
                 _resolve(entry, Stored.NO)
+            elif entry.sent and now_s - entry.first_try_s >= GIVE_UP_UNANSWERED_S:
+                _resolve(entry, Stored.UNKNOWN)
             else:
                 retry.append(entry)
         self.waiting[:0] = retry
--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -19,9 +19,9 @@
 from .tail import Tail
 
 # A leader that shows nothing in the log for this long is replaced.
-SILENCE_S = 1.4
+SILENCE_S = 1.0
 # Nodes try one after another, so that one of them usually wins without a rival.
-MAX_JITTER_S = 0.4
+MAX_JITTER_S = 0.3
 RESIGNED_JITTER_S = 0.15
 APPEND_TIMEOUT_S = 1.0
 CONSIDER_S = 0.05
--- a/caroblead/node/intake.py
+++ b/caroblead/node/intake.py
@@ -25,6 +25,8 @@
 LOOK_UP_S = 1.0
 # Knowledge of the log older than this proves nothing about a job that isn't in it.
 STALE_LEDGER_S = 2.5
+# A node that has heard nothing of the log for this long turns jobs away before it tries.
+LOG_LOST_S = 1.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -126,6 +128,11 @@
         if find_state(ledger, job_id) is not None:
             self._log_answer("job:accepted_before", job_id, admission)
             return Accepted(known_before=True)
+        if self.appender.lost and self.ledger_tail.get_age_s() > LOG_LOST_S:
+            log_routine("job:refused", job=job_id, queue=admission.queue.name, reason="log_lost")
+            return Rejected(
+                self._make_fault(Reason.LOG_DOWN, Step.RECORD, "the log is lost", RETRY_AFTER_S)
+            )
         job = Job(job_id, admission.team, admission.queue, spec, round(time.time(), 3))
         record = KeyedRecord(make_key(RecordKind.JOB, job_id), encode_job(job))
         stored = await self.appender.append(record, max(0.1, budget_s - ANSWER_MARGIN_S))
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -28,15 +28,15 @@
 from .setting import NodeSettings
 from .tail import Tail
 
-LEDGER_WAIT_S = 0.5
+LEDGER_WAIT_S = 0.4
 LEDGER_PAUSE_S = 0.12
-CONFIGURATION_WAIT_S = 1.0
+CONFIGURATION_WAIT_S = 0.7
 REGISTRY_WAIT_S = 1.0
 REGISTRY_PAUSE_S = 1.5
 LEADER_REGISTRY_PAUSE_S = 0.25
 ANNOUNCE_TIMEOUT_S = 3.0
 # A node whose logs are older than this can't serve and tells the balancer so.
-READY_AGE_S = 2.5
+READY_AGE_S = 1.6
 # A planned stop: how long the balancer may take to notice, and what is left for open calls.
 NOTICE_PART = 0.4
 FINISH_PART = 0.75
@@ -157,6 +157,12 @@
 
     def _take_node(self, name: str):
         record = self.ledger.nodes.get(name)
+        term = self.ledger.term
+        if record is not None and term is not None and term.node == name:
+            if term.incarnation != record.incarnation:
+                # The leader's process has started again and knows nothing of its term.
+                log("election:leader_restarted", term=term.number, leader=name)
+                self.election.hear_resignation()
         if name == self.settings.node:
             return
         if record is None:
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -16,8 +16,8 @@
 )
 from .http import CallFailedError, HttpClient, Reply
 
-ORDER_TIMEOUT_S = 1.0
-HOLD_SLACK_S = 1.0
+ORDER_TIMEOUT_S = 0.4
+HOLD_SLACK_S = 0.4
 # What the platform's words for a refusal mean.
 REFUSALS = {
     "fence": StartRefusal.FENCED,
