--- /dev/null
+++ b/caroblead/jobs/record_test.py
@@ -0,0 +1,125 @@
+"""Records and the ledger: what is written is read back, and order decides."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ..core.resource import Resources
+from .data import Job, JobQueue, JobSpec, JobState, Progress, RunRecord, StepProgress, StepSpec
+from .ledger import (
+    JobAdded,
+    JobCancelled,
+    LeaderResigned,
+    Ledger,
+    TermBegun,
+    apply_record,
+    count_waiting,
+    find_state,
+)
+from .record import (
+    KeyedRecord,
+    RecordKind,
+    Term,
+    decode_job,
+    decode_progress,
+    encode_job,
+    encode_progress,
+    encode_term,
+    make_key,
+)
+
+QUEUE = JobQueue("q", "h", "/p/", "s")
+COUNTS = st.integers(0, 50)
+STEPS = st.builds(
+    StepSpec,
+    count=st.integers(1, 9),
+    need=st.builds(Resources, COUNTS, COUNTS, COUNTS),
+    after=st.lists(COUNTS, max_size=2).map(tuple),
+    gang=st.booleans(),
+    label=st.text(max_size=3),
+    max_per_vm=COUNTS,
+)
+RUNS = st.builds(RunRecord, COUNTS, COUNTS, st.text(max_size=3), COUNTS)
+PARTS = st.builds(
+    StepProgress,
+    last_run=COUNTS,
+    done=st.sets(COUNTS),
+    failures=st.dictionaries(COUNTS, COUNTS),
+    runs=st.lists(RUNS, max_size=3),
+    checkpoints=st.dictionaries(COUNTS, st.text(max_size=3)),
+)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(STEPS, min_size=1, max_size=3), st.text(max_size=20))
+def test_job_is_read_as_it_was_written(steps, payload):
+    job = Job("id", "team", QUEUE, JobSpec(payload, tuple(steps), 2, 1.5, 0.25), 12.5)
+    found = decode_job("id", encode_job(job))
+    assert (found.spec, found.team, found.queue) == (job.spec, job.team, job.queue)
+    assert found.accepted_s == job.accepted_s
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.dictionaries(st.tuples(COUNTS, COUNTS), PARTS, max_size=3))
+def test_progress_is_read_as_it_was_written(steps):
+    progress = Progress(JobState.RUNNING, steps)
+    assert decode_progress(encode_progress(progress, 1.0)) == progress
+
+
+def make_record(kind, name, value):
+    return KeyedRecord(make_key(kind, name), value)
+
+
+def make_job_record(name="a", payload="x"):
+    job = Job(name, "team", QUEUE, JobSpec(payload, (StepSpec(1, Resources(1)),)), 1.0)
+    return make_record(RecordKind.JOB, name, encode_job(job))
+
+
+def make_progress_record(state, name="a"):
+    return make_record(RecordKind.PROGRESS, name, encode_progress(Progress(state), 5.0))
+
+
+def test_first_hand_in_of_an_id_counts():
+    ledger = Ledger()
+    assert isinstance(apply_record(ledger, make_job_record(payload="first")), JobAdded)
+    assert apply_record(ledger, make_job_record(payload="second")) is None
+    assert ledger.jobs["a"].spec.payload == "first"
+    assert count_waiting(ledger, "q") == 1
+
+
+def test_final_state_never_changes_and_the_id_stays_taken():
+    ledger = Ledger()
+    apply_record(ledger, make_job_record())
+    apply_record(ledger, make_progress_record(JobState.DONE))
+    assert apply_record(ledger, make_record(RecordKind.CANCEL, "a", b"1")) is None
+    assert apply_record(ledger, make_job_record()) is None
+    apply_record(ledger, make_progress_record(JobState.RUNNING))
+    assert find_state(ledger, "a") is JobState.DONE
+
+
+def test_cancellation_before_the_end_wins():
+    ledger = Ledger()
+    apply_record(ledger, make_job_record())
+    change = apply_record(ledger, make_record(RecordKind.CANCEL, "a", b"1"))
+    assert change == JobCancelled("a")
+    apply_record(ledger, make_progress_record(JobState.DONE))
+    assert find_state(ledger, "a") is JobState.CANCELLED
+
+
+def test_progress_read_before_a_second_copy_of_its_job_is_kept():
+    ledger = Ledger()
+    apply_record(ledger, make_progress_record(JobState.RUNNING))
+    apply_record(ledger, make_job_record())
+    assert find_state(ledger, "a") is JobState.RUNNING
+    assert ledger.jobs["a"].stored
+
+
+def test_only_a_higher_term_begins_and_only_the_current_one_resigns():
+    ledger = Ledger()
+    term = Term(2, "n", "n~1")
+    record = make_record(RecordKind.TERM, "leader", encode_term(term))
+    assert apply_record(ledger, record) == TermBegun(term)
+    older = make_record(RecordKind.TERM, "leader", encode_term(Term(2, "m", "m~1")))
+    assert apply_record(ledger, older) is None
+    assert apply_record(ledger, make_record(RecordKind.BEAT, "resigned", b"1")) is None
+    resigned = apply_record(ledger, make_record(RecordKind.BEAT, "resigned", b"2"))
+    assert resigned == LeaderResigned()
--- /dev/null
+++ b/caroblead/platform/adapter_test.py
@@ -0,0 +1,191 @@
+"""The adapters against a server that speaks the platform's protocol."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from ..core.resource import Resources
+from ..dispatch.interface import (
+    EndReason,
+    Fence,
+    FencedError,
+    HistoryGoneError,
+    HoldAnswer,
+    NoAnswer,
+    Refused,
+    Started,
+    StartOrder,
+    StartRefusal,
+    Target,
+    TaskName,
+)
+from ..fleet.interface import LogError
+from ..jobs.data import JobState
+from ..jobs.record import KeyedRecord
+from ..standin.cluster import list_vm
+from ..standin.platform import HttpPlatform
+from ..standin.taskvm import VmPark, WorkPlan
+from .advisor import PlatformAdvisor
+from .configuration import decode_configuration
+from .http import HttpClient
+from .jobs import decode_spec, encode_state
+from .log import PlatformLog
+from .registry import decode_vm
+from .vms import PlatformVms
+
+TASK = TaskName("00000000000000aa", 0, 1, 2)
+
+
+def with_platform(scenario):
+    async def main():
+        park = VmPark(lambda task, number: WorkPlan(0.01, Resources(1000, 1)))
+        park.add(list_vm(0))
+        server, http = HttpPlatform(park), HttpClient()
+        await server.start()
+        try:
+            await scenario(server, http)
+        finally:
+            await http.close()
+            await server.close()
+
+    asyncio.run(main())
+
+
+def test_log_keeps_order_newest_values_and_fences():
+    async def scenario(server, http):
+        log = PlatformLog(http, server.address, "keyed.test")
+        first = [KeyedRecord("a", b"1"), KeyedRecord("b/ä", b"2"), KeyedRecord("a", b"3")]
+        assert await log.append(first, None, 1.0) == 0
+        batch = await log.read(1, 0.0)
+        assert batch.records == first[1:]
+        assert (batch.next_offset, batch.end_offset) == (3, 3)
+        await log.append([KeyedRecord("c", b""), KeyedRecord("d", b"4")], Fence(2, 0), 1.0)
+        assert await log.append([KeyedRecord("d", b"4")], Fence(2, 0), 1.0) == 3
+        with pytest.raises(FencedError):
+            await log.append([KeyedRecord("e", b"5")], Fence(1, 1), 1.0)
+        newest = await log.read_newest()
+        assert [(item.key, item.value) for item in newest.records] == [
+            ("b/ä", b"2"),
+            ("a", b"3"),
+            ("d", b"4"),
+        ]
+        assert newest.next_offset == 5
+
+    with_platform(scenario)
+
+
+def test_log_tells_what_may_have_taken_effect():
+    async def scenario(server, http):
+        log = PlatformLog(http, server.address, "keyed.test")
+        await log.append([KeyedRecord("a", b"1")], None, 1.0)
+        server.topics["keyed.test"].forget()
+        with pytest.raises(HistoryGoneError):
+            await log.read(0, 0.0)
+        server.status = 503
+        with pytest.raises(LogError) as refused:
+            await log.append([KeyedRecord("a", b"1")], None, 1.0)
+        assert not refused.value.sent
+        server.status = 500
+        with pytest.raises(LogError) as unclear:
+            await log.append([KeyedRecord("a", b"1")], None, 1.0)
+        assert unclear.value.sent
+
+    with_platform(scenario)
+
+
+def test_orders_reach_a_vm_and_its_answers_come_back_as_types():
+    async def scenario(server, http):
+        vms = PlatformVms(http)
+        target = Target("vm-0", 1, server.address)
+        order = StartOrder(TASK, 1, "payload", 60_000, term=3)
+        assert isinstance(await vms.start(target, order), Started)
+        answer = await vms.hold(target, 3, 0, 60_000, 1.0)
+        assert isinstance(answer, HoldAnswer)
+        assert [(end.task, end.reason) for end in answer.ended] == [(TASK, EndReason.DONE)]
+        assert await vms.start(target, order) == Refused(StartRefusal.SUPERSEDED)
+        assert await vms.stop(target, TASK, 1, 2) == Refused(StartRefusal.FENCED)
+        assert await vms.hold(target, 2, 0, None, 0.0) == Refused(StartRefusal.FENCED)
+        server.status = 421
+        assert await vms.start(target, order) == Refused(StartRefusal.OTHER_INCARNATION)
+        server.status = 503
+        assert await vms.start(target, order) == Refused(StartRefusal.UNHEALTHY)
+        gone = Target("vm-0", 1, "127.0.0.1:1")
+        assert isinstance(await vms.start(gone, order), NoAnswer)
+
+    with_platform(scenario)
+
+
+def test_advice_names_the_allowed_vms_with_their_tickets():
+    async def scenario(server, http):
+        server.advice = {"vm-1": "t1"}
+        advisor = PlatformAdvisor(http, server.address)
+        assert (await advisor.ask("job.0.0", ["vm-0", "vm-1"], 1.0)).tickets == {"vm-1": "t1"}
+        server.status = 429
+        assert (await advisor.ask("job.0.0", ["vm-0"], 1.0)).tickets is None
+
+    with_platform(scenario)
+
+
+def test_job_is_decoded_with_every_field_in_its_own_unit():
+    body = orjson.dumps(
+        {
+            "spec": "text",
+            "steps": [
+                {"count": 4, "cpu": 500, "memMb": 256, "estimatedMs": 900, "affinity": "r1-3"},
+                {"count": 2, "cpu": 1, "after": [0], "gang": True, "antiAffinity": 1},
+            ],
+            "repetitions": 2,
+            "startAtMs": 5000,
+            "intervalMs": 250,
+        }
+    )
+    spec = decode_spec(body)
+    assert spec.steps[0].need == Resources(500, 256)
+    assert spec.steps[0].estimate_s == 0.9
+    assert spec.steps[1].after == (0,)
+    assert (spec.repeats, spec.first_due_s, spec.interval_s) == (2, 5.0, 0.25)
+    assert encode_state(JobState.DONE) == b'{"state":"completed"}'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"spec":1,"steps":[{"count":1}]}',
+        b'{"spec":"x"}',
+        b'{"spec":"x","steps":[]}',
+        b'{"spec":"x","steps":[{"count":0}]}',
+        b'{"spec":"x","steps":[{"count":"2"}]}',
+        b'{"spec":"x","steps":[{"count":1,"cpu":-1}]}',
+        b'{"spec":"x","steps":[{"count":1,"after":[0]}]}',
+    ],
+)
+def test_malformed_jobs_are_refused_with_the_field(body):
+    with pytest.raises(ValueError):
+        decode_spec(body)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"null", b"[]", b"{}", b'{"version":1}', b'{"version":1,"routes":[{"name":"x"}]}'],
+)
+def test_malformed_configuration_is_refused(value):
+    with pytest.raises(ValueError):
+        decode_configuration(value)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff",
+        b"7",
+        b"{}",
+        b'{"service":1,"address":"a:1","zone":"z","state":"available","capacity":{}}',
+        b'{"service":"s","address":"a:1","zone":"z","state":"odd","capacity":{"cpu":1,"memMb":1}}',
+    ],
+)
+def test_registry_entry_of_another_writer_names_no_vm(value):
+    with pytest.raises(ValueError):
+        decode_vm("vm", value)
--- /dev/null
+++ b/caroblead/standin/platform.py
@@ -0,0 +1,177 @@
+"""The operators' platform over HTTP, for tests of the adapters: its store, VMs and advice.
+
+It speaks the published protocol over the stand-ins in memory of this package.
+"""
+
+import asyncio
+import base64
+import struct
+
+import orjson
+from aiohttp import web
+
+from ..dispatch.interface import (
+    Fence,
+    FencedError,
+    HoldAnswer,
+    Started,
+    StartOrder,
+    StartRefusal,
+    TaskName,
+)
+from ..jobs.record import KeyedRecord
+from .keyedlog import MemoryTopic
+from .taskvm import TaskVm, VmPark
+
+REASONS = {
+    StartRefusal.FENCED: "fence",
+    StartRefusal.SUPERSEDED: "old",
+    StartRefusal.EXPIRED: "late",
+}
+
+
+class HttpPlatform:
+    """A server on a port that the kernel chooses; every VM answers there by its own path host."""
+
+    def __init__(self, park: VmPark | None = None):
+        self.topics: dict[str, MemoryTopic] = {}
+        self.park = park
+        self.advice: dict[str, str] = {}
+        self.status = 200
+        self.runner = web.ServerRunner(web.Server(self._serve))
+        self.address = ""
+
+    async def start(self):
+        """Listens on loopback."""
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self.runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self):
+        """Ends."""
+        await self.runner.cleanup()
+
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        if self.status != 200:
+            return web.Response(status=self.status)
+        call = request.path.rsplit("/", 1)[1].replace("-", "_")
+        body = await request.read()
+        return await getattr(self, f"_answer_{call}")(request, body)
+
+    def _get_topic(self, request: web.BaseRequest) -> MemoryTopic:
+        return self.topics.setdefault(request.query["topic"], MemoryTopic())
+
+    async def _answer_log_append(self, request, body: bytes) -> web.Response:
+        topic, fence = self._get_topic(request), None
+        if "epoch" in request.query:
+            fence = Fence(int(request.query["epoch"]), int(request.query["sequence"]))
+        records = []
+        while body:
+            (size,) = struct.unpack_from(">I", body)
+            record, body = body[4 : 4 + size], body[4 + size :]
+            end = 1 + record[0]
+            records.append(KeyedRecord(record[1:end].decode(), record[end:]))
+        try:
+            offset = topic.append(records, fence)
+        except FencedError as error:
+            return _write(409, {"reason": str(error)})
+        return _write(200, {"offset": offset, "endOffset": topic.end_offset})
+
+    async def _answer_log_read(self, request, body: bytes) -> web.Response:
+        topic, start = self._get_topic(request), int(request.query["fromRevision"])
+        if start < topic.first_offset:
+            return _write(410, {"firstOffset": topic.first_offset})
+        if start >= topic.end_offset and "waitMs" in request.query:
+            try:
+                await asyncio.wait_for(topic.grown.wait(), int(request.query["waitMs"]) / 1000)
+            except TimeoutError:
+                pass
+        answer = struct.pack(">QQ", topic.end_offset, topic.first_offset)
+        for record in topic.records[start - topic.first_offset :]:
+            key = record.key.encode()
+            answer += struct.pack(">IB", 1 + len(key) + len(record.value), len(key))
+            answer += key + record.value
+        return web.Response(body=answer)
+
+    async def _answer_log_newest(self, request, body: bytes) -> web.Response:
+        topic, after = self._get_topic(request), request.query.get("after", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "offset": topic.newest[key][0],
+            }
+            for key in keys[:2]
+        ]
+        more = len(keys) > 2
+        return _write(200, {"items": items, "hasMore": more, "endOffset": topic.end_offset})
+
+    def _get_vm(self, request: web.BaseRequest) -> TaskVm:
+        return self.park.vms[request.headers["Expect-Instance"]]
+
+    async def _answer_run_start(self, request, body: bytes) -> web.Response:
+        raw = orjson.loads(body)
+        vm = self._get_vm(request)
+        order = StartOrder(
+            _read_task(raw["task"]),
+            raw["runId"],
+            raw["spec"],
+            raw["deadlineMs"],
+            raw["fencingToken"],
+            raw.get("checkpoint", ""),
+            raw.get("ticket", ""),
+        )
+        return _write_order(self.park.start(vm, order))
+
+    async def _answer_run_stop(self, request, body: bytes) -> web.Response:
+        raw = orjson.loads(body)
+        task = _read_task(raw["task"])
+        vm = self._get_vm(request)
+        return _write_order(self.park.stop(vm, task, raw["runId"], raw["fencingToken"]))
+
+    async def _answer_hold(self, request, body: bytes) -> web.Response:
+        raw = orjson.loads(body)
+        answer = await self.park.hold(
+            self._get_vm(request),
+            raw["fencingToken"],
+            raw["lastSeen"],
+            raw.get("deadlineMs"),
+            raw.get("waitMs", 0) / 1000,
+        )
+        if not isinstance(answer, HoldAnswer):
+            return _write_order(answer)
+        running = [[str(r.task), r.number, r.checkpoint, r.percent] for r in answer.running]
+        ended = [[e.serial, str(e.task), e.number, str(e.reason), ""] for e in answer.ended]
+        return _write(
+            200,
+            {
+                "clockMs": answer.clock_ms,
+                "born": answer.incarnation,
+                "running": running,
+                "finished": ended,
+            },
+        )
+
+    async def _answer_advise(self, request, body: bytes) -> web.Response:
+        workers = orjson.loads(body)["workers"]
+        allowed = [[name, self.advice[name]] for name in workers if name in self.advice]
+        return _write(200, {"allowed": allowed, "validityMs": 1500})
+
+
+def _read_task(name: str) -> TaskName:
+    job, occurrence, step, index = name.split(".")
+    return TaskName(job, int(occurrence), int(step), int(index))
+
+
+def _write(status: int, message: dict) -> web.Response:
+    body = orjson.dumps(message)
+    return web.Response(status=status, body=body, content_type="application/json")
+
+
+def _write_order(outcome) -> web.Response:
+    if isinstance(outcome, Started):
+        return _write(200, {"clockMs": outcome.clock_ms})
+    return _write(409, {"clockMs": 0, "reason": REASONS[outcome.reason]})
