--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from ..core.resource import NOTHING, Resources, add, subtract
+from ..jobs.data import StepKey
 from .interface import ListedVm, Target, TaskName
 
 # A VM's clock may run this much slow.
@@ -37,7 +38,8 @@
     """One run of a task on a VM, from the decision to the proof of its end.
 
     ``settled_s`` is when the VM last answered an order about it. ``wanted`` is false once its end
-    no longer matters, such as after a cancellation.
+    no longer matters, such as after a cancellation. An ``evictable`` run may be stopped for more
+    urgent work, and one that ``saves`` goes on from its last checkpoint then.
     """
 
     task: TaskName
@@ -53,6 +55,9 @@
     started_s: float = 0.0
     percent: float = 0.0
     checkpoint: str = ""
+    priority: int = 0
+    evictable: bool = False
+    saves: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -85,6 +90,15 @@
         return Target(self.name, self.incarnation, self.listed.address)
 
 
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """A VM that is kept for a step that found no room; only more urgent work may use it."""
+
+    step: StepKey
+    rank: tuple
+    until_s: float
+
+
 @dataclass(slots=True, eq=False)
 class Fleet:
     """All VMs, what each team has running, and when this term began."""
@@ -93,6 +107,7 @@
     used: dict[str, Resources] = field(default_factory=dict)
     term_began_s: float = 0.0
     lease_s: float = 8.0
+    reservations: dict[str, "Reservation"] = field(default_factory=dict)
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -39,12 +39,14 @@
 )
 from .orders import OrderDesk
 from .planning import Placement, plan_starts
+from .rank import Allowance, count_surplus, rank_step
 from .settle import drop_runs, list_broken_gang, settle_end
 from .watch import Watch
 from .work import (
     JobWork,
     StepWork,
     add_run,
+    describe_run,
     get_booked_need,
     is_step_ready,
     open_due_occurrences,
@@ -90,6 +92,7 @@
         self.watches: dict[str, asyncio.Task] = {}
         self.looks: dict[str, Watch] = {}
         self.broken_since: dict = {}
+        self.allowances: dict[str, Allowance] = {}
         self.wake = asyncio.Event()
         self.commit = CommitQueue(parts.log, term, proved_s, self.lose)
         self.desk = OrderDesk(
@@ -107,7 +110,8 @@
     def start(self):
         """Takes over the open jobs and begins to decide."""
         self._refresh_vms()
-        for job in list(self.parts.ledger.jobs.values()):
+        jobs = sorted(self.parts.ledger.jobs.values(), key=lambda job: job.accepted_s)
+        for job in jobs:
             self._take_over(job)
         self.timer = self.parts.timers.subscribe(SWEEP_S, self._sweep)
         self.tasks = [
@@ -135,6 +139,7 @@
         """Stops all activity of the term."""
         self.lost = True
         self.desk.close()
+        self.parts.counsel.clear()
         if self.timer is not None:
             self.parts.timers.unsubscribe(self.timer)
         for task in [*self.tasks, *self.watches.values()]:
@@ -144,8 +149,7 @@
 
     def _take_over(self, job: Job):
         progress = decode_progress(job.stored) if job.stored else Progress()
-        work = open_job(job, progress)
-        self.works[job.id] = work
+        work = self._open(job, progress)
         for (occurrence, number), part in progress.steps.items():
             step = work.steps[occurrence, number]
             for record in part.runs:
@@ -153,6 +157,13 @@
         if job.cancelled:
             self._finish(work, JobState.CANCELLED)
 
+    def _open(self, job: Job, progress: Progress) -> JobWork:
+        work = open_job(job, progress)
+        team = self.parts.get_configuration().teams.get(job.team)
+        work.surplus = count_surplus(self.allowances, team, job)
+        self.works[job.id] = work
+        return work
+
     def _inherit_run(self, step: StepWork, record):
         row = self.fleet.rows.get(record.vm)
         if row is None:
@@ -161,7 +172,7 @@
         need = get_booked_need(step.spec)
         run = Run(task, record.number, row, step.work.job.team, need, RunPhase.INHERITED)
         book_run(self.fleet, run)
-        add_run(step, run)
+        add_run(step, describe_run(step, run))
         if row.incarnation and row.incarnation != record.incarnation:
             self.on_gone(run, "its VM has started again")
         elif not row.incarnation:
@@ -177,8 +188,7 @@
     def apply_change(self, change: Change):
         """Takes in what the log says."""
         if isinstance(change, JobAdded):
-            work = open_job(change.job, Progress())
-            self.works[change.job.id] = work
+            work = self._open(change.job, Progress())
             if change.job.cancelled:
                 self._finish(work, JobState.CANCELLED)
             self.wake.set()
@@ -353,8 +363,11 @@
             return
         configuration = self.parts.get_configuration()
         services = {name: queue.service for name, queue in configuration.queues.items()}
-        plan = plan_starts(steps, self.fleet, configuration.teams, services, now_s)
+        plan = plan_starts(steps, self.fleet, configuration.teams, services, now_s, wall_s)
         self._carry_out(plan.placements, now_s)
+        for run in plan.evictions:
+            log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
+            self.desk.stop(run)
         for step in plan.advice_needed:
             step.advice.pending = True
             self.desk.spawn(guard(self._ask_advice(step, services)))
@@ -378,7 +391,7 @@
                 checkpoint=step.part.checkpoints.get(placement.index, ""),
             )
             book_run(self.fleet, run)
-            add_run(step, run)
+            add_run(step, describe_run(step, run))
             if step.work.state is JobState.QUEUED:
                 step.work.state = JobState.RUNNING
             log_routine(
@@ -412,7 +425,10 @@
         key = step.key
         started_s = get_elapsed_s()
         answer = await self.parts.counsel.ask(
-            f"{key.job}.{key.occurrence}.{key.step}", names, expected_s
+            f"{key.job}.{key.occurrence}.{key.step}",
+            names,
+            expected_s,
+            rank_step(step, get_wall_s()),
         )
         advice.pending = False
         if answer.tickets is None:
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -1,21 +1,28 @@
 """The tick: which waiting tasks start on which VMs.
 
-Pure decisions over the tables. Steps are served in order of their queue's priority and then of the
-time by which their job should be done; a step that does not fit is passed over. A gang is placed
-whole or not at all.
+Pure decisions over the tables. Steps are served in the order of :mod:`caroblead.dispatch.rank`; a
+step that does not fit is passed over, but urgent work may have others stopped and a gang may have
+VMs kept for it. A gang is placed whole or not at all.
 """
 
 from dataclasses import dataclass, field
 
 from ..core.resource import NOTHING, Resources, add, fits, subtract
-from .fleet import Fleet, VmRow, is_usable
+from .evict import choose_evictions, choose_rows_to_empty, count_fit
+from .fleet import Fleet, Reservation, Run, VmRow, is_usable
 from .interface import TeamLimits
+from .rank import Tier, rank_step
 from .work import StepWork, get_booked_need
 
 # A ticket is not used in the last part of its time, in which the order may still be on its way.
 TICKET_MARGIN_S = 0.3
 # A VM off the rack of a task's data counts as so much worse a fit.
 FAR_PENALTY = 2.0
+# How long a VM is kept for a step that found no room, and by how much that is prolonged.
+RESERVE_S = 1.2
+KEEP_S = 0.5
+# Runs stopped for more urgent work in one tick.
+MAX_EVICTIONS_PER_TICK = 24
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,18 +37,23 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What to start and for which steps to ask for advice."""
+    """What to start, which runs to stop for it, and for which steps to ask for advice."""
 
     placements: list[Placement] = field(default_factory=list)
+    evictions: list[Run] = field(default_factory=list)
     advice_needed: list[StepWork] = field(default_factory=list)
 
 
 @dataclass(slots=True)
-class Room:
-    """What would be free on VMs and used by teams with the plan carried out."""
+class Moment:
+    """What a tick works on: the tables, the time, and the room with the plan carried out."""
 
+    fleet: Fleet
+    now_s: float
     free: dict[str, Resources]
     used: dict[str, Resources]
+    plan: Plan = field(default_factory=Plan)
+    evictions_left: int = MAX_EVICTIONS_PER_TICK
 
 
 def plan_starts(
@@ -50,67 +62,136 @@
     teams: dict[str, TeamLimits],
     services: dict[str, str],
     now_s: float,
+    wall_s: float,
 ) -> Plan:
-    """Returns what to start now; ``services`` maps a queue to the service that runs its tasks.
+    """Returns what to do now; ``services`` maps a queue to the service that runs its tasks.
 
     For example a step of two tasks of a core each, with one VM that has a core free, gets one
     placement, or none if it is a gang.
     """
-    plan = Plan()
     rows = [row for row in fleet.rows.values() if is_usable(row, now_s)]
-    room = Room({row.name: row.free for row in rows}, dict(fleet.used))
-    for step in sorted(steps, key=_rank):
+    moment = Moment(fleet, now_s, {row.name: row.free for row in rows}, dict(fleet.used))
+    drop_old_reservations(fleet, now_s)
+    ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
+    for rank, step in ranked:
         job = step.work.job
         service = services.get(job.queue.name, job.queue.service)
         candidates = [row for row in rows if row.listed.service == service]
         if step.spec.label:
             candidates = [row for row in candidates if step.spec.label in row.listed.labels]
-        _plan_step(plan, step, candidates, room, teams.get(job.team), now_s)
-    return plan
+        _plan_step(moment, step, rank, candidates, teams.get(job.team))
+    return moment.plan
 
 
-def _rank(step: StepWork):
-    return (step.work.job.queue.priority, step.work.due_s, step.key)
-
-
-def _plan_step(plan, step: StepWork, candidates, room: Room, team, now_s: float):
+def _plan_step(moment: Moment, step: StepWork, rank: tuple, candidates, team):
     terms = step.work.job.queue.advice
+    unasked = []
     if terms is not None:
         unasked = [row for row in candidates if row.name not in step.advice.asked]
         candidates = [row for row in candidates if row.name in step.advice.allowed]
-    chosen = _place_step(step, candidates, room, team)
-    if terms is None:
-        _accept(plan, step, chosen, room)
-        return
-    if chosen and now_s - step.advice.got_s < terms.valid_s - TICKET_MARGIN_S:
-        if all(row.name in step.advice.tickets for _, row in chosen):
-            _accept(plan, step, chosen, room)
+    candidates = [row for row in candidates if _may_use(moment, row, step, rank)]
+    chosen = _place_step(step, candidates, moment, team)
+    if terms is not None and not _has_tickets(step, chosen, terms, moment.now_s):
+        ask = bool(chosen) or any(fits(step.spec.need, moment.free[row.name]) for row in unasked)
+        if ask and not step.advice.pending and moment.now_s >= step.advice.retry_s:
+            moment.plan.advice_needed.append(step)
+        if chosen and step.spec.gang:
+            _reserve(moment, step, rank, [row for _, row in chosen])
+            _take_room(moment, step, chosen)
+        if chosen:
             return
-    if (chosen or unasked) and not step.advice.pending and now_s >= step.advice.retry_s:
-        plan.advice_needed.append(step)
+    else:
+        _accept(moment, step, chosen)
+    missing = len(step.waiting) - len(chosen)
+    if missing and candidates:
+        _make_room(moment, step, rank, candidates, team, missing)
+
+
+def _has_tickets(step: StepWork, chosen, terms, now_s: float) -> bool:
+    if not chosen or now_s - step.advice.got_s >= terms.valid_s - TICKET_MARGIN_S:
+        return False
+    return all(row.name in step.advice.tickets for _, row in chosen)
+
+
+def _may_use(moment: Moment, row: VmRow, step: StepWork, rank: tuple) -> bool:
+    held = moment.fleet.reservations.get(row.name)
+    return held is None or held.step == step.key or rank < held.rank
 
 
-def _accept(plan: Plan, step: StepWork, chosen: list[tuple[int, VmRow]], room: Room):
+def _reserve(moment: Moment, step: StepWork, rank: tuple, rows: list[VmRow]):
+    until_s = moment.now_s + RESERVE_S
+    for row in rows:
+        moment.fleet.reservations[row.name] = Reservation(step.key, rank, until_s)
+
+
+def drop_old_reservations(fleet: Fleet, now_s: float):
+    """Gives up VMs that were kept for a step that didn't come back for them."""
+    for name, held in list(fleet.reservations.items()):
+        if held.until_s <= now_s:
+            del fleet.reservations[name]
+
+
+def _make_room(moment: Moment, step: StepWork, rank: tuple, candidates, team, missing: int):
+    """Stops less urgent work for a step without room, or keeps VMs for a gang until they empty."""
     need = get_booked_need(step.spec)
-    team = step.work.job.team
+    used = moment.used.get(step.work.job.team, NOTHING)
+    allowance = count_allowance(team, used, need)
+    if allowance <= 0 or (step.spec.gang and allowance < missing):
+        return
+    if any(held.step == step.key for held in moment.fleet.reservations.values()):
+        _keep_reservations(moment, step, rank)
+        return
+    chosen = None
+    if rank[0] is Tier.IN_TIME:
+        chosen = choose_evictions(
+            step, candidates, moment.free, min(missing, allowance), moment.now_s
+        )
+    if chosen and len(chosen.runs) <= moment.evictions_left:
+        moment.evictions_left -= len(chosen.runs)
+        moment.plan.evictions += chosen.runs
+        _reserve(moment, step, rank, chosen.rows)
+    elif step.spec.gang:
+        _reserve(moment, step, rank, choose_rows_to_empty(step, candidates, moment.free, missing))
+
+
+def _keep_reservations(moment: Moment, step: StepWork, rank: tuple):
+    for name, held in moment.fleet.reservations.items():
+        if held.step == step.key:
+            until_s = max(held.until_s, moment.now_s + KEEP_S)
+            if step.spec.gang:
+                moment.fleet.reservations[name] = Reservation(step.key, rank, until_s)
+
+
+def _accept(moment: Moment, step: StepWork, chosen: list[tuple[int, VmRow]]):
+    _take_room(moment, step, chosen)
     for index, row in chosen:
-        room.free[row.name] = subtract(room.free[row.name], need)
-        room.used[team] = add(room.used.get(team, NOTHING), need)
         ticket = step.advice.tickets.get(row.name, "")
-        plan.placements.append(Placement(step, index, row, ticket))
+        moment.plan.placements.append(Placement(step, index, row, ticket))
+    if chosen and len(chosen) == len(step.waiting):
+        for name, held in list(moment.fleet.reservations.items()):
+            if held.step == step.key:
+                del moment.fleet.reservations[name]
+
+
+def _take_room(moment: Moment, step: StepWork, chosen: list[tuple[int, VmRow]]):
+    need = get_booked_need(step.spec)
+    team = step.work.job.team
+    for _, row in chosen:
+        moment.free[row.name] = subtract(moment.free[row.name], need)
+        moment.used[team] = add(moment.used.get(team, NOTHING), need)
 
 
-def _place_step(step: StepWork, candidates, room: Room, team) -> list[tuple[int, VmRow]]:
+def _place_step(step: StepWork, candidates, moment: Moment, team) -> list[tuple[int, VmRow]]:
     need = get_booked_need(step.spec)
     indexes = sorted(step.waiting)
-    allowance = _count_allowance(team, room.used.get(step.work.job.team, NOTHING), need)
+    allowance = count_allowance(team, moment.used.get(step.work.job.team, NOTHING), need)
     if step.spec.gang:
         if len(indexes) < step.spec.count or allowance < len(indexes):
             return []
     indexes = indexes[: min(len(indexes), allowance)]
     if not indexes:
         return []
-    slots = _count_slots(step, candidates, room, need)
+    slots = _count_slots(step, candidates, moment.free, need)
     if step.spec.gang and step.spec.same_rack:
         slots = _choose_rack(slots, len(indexes)) or slots
     if step.spec.gang and sum(count for count, _, _ in slots) < len(indexes):
@@ -118,7 +199,7 @@
     return _fill_slots(indexes, slots)
 
 
-def _count_allowance(team: TeamLimits | None, used: Resources, need: Resources) -> int:
+def count_allowance(team: TeamLimits | None, used: Resources, need: Resources) -> int:
     """Returns how many more tasks a team may run under its cap."""
     if team is None:
         return 1_000_000
@@ -134,7 +215,7 @@
     return max(0, min(counts, default=1_000_000))
 
 
-def _count_slots(step: StepWork, candidates, room: Room, need: Resources):
+def _count_slots(step: StepWork, candidates, room: dict[str, Resources], need: Resources):
     """Returns how many of a step's tasks each VM can take, with its score, best fit first."""
     here: dict[str, int] = {}
     if step.spec.max_per_vm:
@@ -143,10 +224,10 @@
                 here[run.vm.name] = here.get(run.vm.name, 0) + 1
     slots = []
     for row in candidates:
-        free = room.free[row.name]
+        free = room[row.name]
         if not fits(need, free):
             continue
-        count = _count_fit(need, free)
+        count = count_fit(need, free)
         if step.spec.max_per_vm:
             count = min(count, step.spec.max_per_vm - here.get(row.name, 0))
         if count <= 0:
@@ -156,19 +237,6 @@
     return slots
 
 
-def _count_fit(need: Resources, free: Resources) -> int:
-    counts = [
-        have // want
-        for have, want in (
-            (free.millicores, need.millicores),
-            (free.memory_mb, need.memory_mb),
-            (free.accelerators, need.accelerators),
-        )
-        if want
-    ]
-    return min(counts, default=1_000)
-
-
 def _score(step: StepWork, row: VmRow, free: Resources, need: Resources) -> float:
     capacity = row.listed.capacity
     cores = (free.millicores - need.millicores) / (capacity.millicores or 1)
--- a/caroblead/dispatch/planning_test.py
+++ b/caroblead/dispatch/planning_test.py
@@ -32,7 +32,7 @@
 
 
 def plan(steps, fleet, teams=None):
-    return plan_starts(steps, fleet, teams or {}, {}, NOW_S)
+    return plan_starts(steps, fleet, teams or {}, {}, NOW_S, 1.0)
 
 
 STEP = st.builds(
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -44,14 +44,20 @@
 
 @dataclass(slots=True, eq=False)
 class JobWork:
-    """A job with its steps by occurrence and number; ``due_s`` is when it should be done."""
+    """A job with its steps by occurrence and number.
+
+    ``due_s`` is when it should be done, ``target_s`` after it was handed in. A ``surplus`` job was
+    sent beyond its team's share.
+    """
 
     job: Job
     state: JobState
     steps: dict[tuple[int, int], StepWork] = field(default_factory=dict)
     occurrences: int = 0
     due_s: float = 0.0
+    target_s: float = 0.0
     ready_s: float = 0.0
+    surplus: bool = False
 
 
 def open_job(job: Job, progress: Progress) -> JobWork:
@@ -61,7 +67,8 @@
         work.occurrences = max(work.occurrences, occurrence + 1)
     for occurrence in range(work.occurrences):
         _open_occurrence(work, occurrence, progress)
-    work.due_s = job.accepted_s + compute_target_s(job)
+    work.target_s = compute_target_s(job)
+    work.due_s = job.accepted_s + work.target_s
     return work
 
 
@@ -131,6 +138,15 @@
     step.active.setdefault(run.task.index, []).append(run)
 
 
+def describe_run(step: StepWork, run: Run) -> Run:
+    """Gives a run what the choice of runs to stop needs to know."""
+    spec = step.spec
+    run.priority = step.work.job.queue.priority
+    run.saves = spec.checkpoints
+    run.evictable = not (spec.gang or spec.endless or spec.miss_tolerance)
+    return run
+
+
 def remove_run(step: StepWork, run: Run):
     """Takes in that a run is over; its task waits again unless it is done or has another run."""
     index = run.task.index
