Count a former leader's lease in full when a VM first answers a new term

Ruled out: evictions (stopped runs stay booked) and the ledger (323 runs inherited). fleet_test.py failed first.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -149,6 +149,17 @@
     row.heard_s = now_s
 
 
+def observe_first_answer(fleet: Fleet, row: VmRow, clock_ms: int, now_s: float):
+    """Takes in a VM's first answer in this term.
+
+    The former leader may have given it a lease until a moment ago, so nothing on it counts as
+    lapsed before the longest such lease has.
+    """
+    observe_clock(row, clock_ms, now_s)
+    row.answered = True
+    row.deadline_ms = max(row.deadline_ms, clock_ms + int(fleet.lease_s * 1000))
+
+
 def grant_deadline(fleet: Fleet, row: VmRow, authority_s: float) -> int:
     """Returns the end of a lease counted from the leader's last proof of its term.
 
@@ -162,14 +173,12 @@
 
 def has_lapsed(fleet: Fleet, row: VmRow, now_s: float) -> bool:
     """Returns whether every lease ever given to a silent VM has certainly lapsed."""
-    if not row.clock_at_s:
+    if not row.answered:
         wait_s = fleet.lease_s * (1 + 2 * CLOCK_DRIFT) + LAPSE_MARGIN_S
         return now_s - fleet.term_began_s > wait_s
     slowest_ms = row.clock_ms + (now_s - row.clock_at_s) * 1000 * (1 - CLOCK_DRIFT)
     lapsed = slowest_ms >= row.deadline_ms + LAPSE_MARGIN_S * 1000
-    if row.answered:
-        return lapsed
-    return lapsed and now_s - fleet.term_began_s > fleet.lease_s * (1 + 2 * CLOCK_DRIFT)
+    return lapsed
 
 
 def is_usable(row: VmRow, now_s: float) -> bool:
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -5,7 +5,15 @@
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
-from .fleet import Fleet, Run, RunPhase, VmRow, grant_deadline, observe_clock
+from .fleet import (
+    Fleet,
+    Run,
+    RunPhase,
+    VmRow,
+    grant_deadline,
+    observe_clock,
+    observe_first_answer,
+)
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
 
 # A renewal waits this long for an end before it comes back by itself.
@@ -88,8 +96,10 @@
         if answer.incarnation != row.incarnation:
             self.events.on_reborn(row, answer.incarnation)
         first = not row.answered
-        observe_clock(row, answer.clock_ms, get_elapsed_s())
-        row.answered = True
+        if first:
+            observe_first_answer(self.fleet, row, answer.clock_ms, get_elapsed_s())
+        else:
+            observe_clock(row, answer.clock_ms, get_elapsed_s())
         seen = row.seen
         for ended in answer.ended:
             seen = max(seen, ended.serial)
