--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -39,6 +39,11 @@
         self.callbacks: list[Callable] = []
         self.wake = asyncio.Event()
         self.appends = 0
+        self.begun_s: float | None = None
+
+    def get_delay_s(self) -> float:
+        """Returns how long the append under way has been waiting for its answer."""
+        return 0.0 if self.begun_s is None else get_elapsed_s() - self.begun_s
 
     def mark(self, work: JobWork, callback: Callable | None = None):
         """Records the progress of a job with the next append, and calls back once it is there."""
@@ -76,8 +81,10 @@
                 pass
             self.wake.clear()
             records, callbacks = self._take_batch()
+            self.begun_s = get_elapsed_s()
             if not await self._append(records):
                 return
+            self.begun_s = None
             for callback in callbacks:
                 callback()
 
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -51,6 +51,7 @@
     wanted: bool = True
     unanswered: bool = False
     ticket: str = ""
+    ticket_until_s: float = float("inf")
     settled_s: float = 0.0
     started_s: float = 0.0
     percent: float = 0.0
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -63,6 +63,8 @@
 # A VM on which runs of so many jobs failed in a row gets no new work for a while.
 FAILED_JOBS_TO_AVOID = 3
 FAILED_AVOID_S = 4.0
+# Nothing new is decided while the log has not answered for this long: it could not be carried out.
+MAX_RECORD_DELAY_S = 0.4
 
 
 @dataclass(slots=True)
@@ -359,7 +361,7 @@
                 open_due_occurrences(work, wall_s)
             if now_s >= work.ready_s:
                 steps += [step for step in work.steps.values() if is_step_ready(step)]
-        if not steps:
+        if not steps or self.commit.get_delay_s() > MAX_RECORD_DELAY_S:
             return
         configuration = self.parts.get_configuration()
         services = {name: queue.service for name, queue in configuration.queues.items()}
@@ -387,6 +389,7 @@
                 step.work.job.team,
                 get_booked_need(step.spec),
                 ticket=placement.ticket,
+                ticket_until_s=_get_ticket_end(step),
                 started_s=now_s,
                 checkpoint=step.part.checkpoints.get(placement.index, ""),
             )
@@ -472,3 +475,9 @@
             for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
                 self.commit.add(KeyedRecord(make_key(kind, name), b""))
             ledger.ended_at_s.pop(name)
+
+
+def _get_ticket_end(step: StepWork) -> float:
+    """Returns until when the tickets of a step can be used."""
+    terms = step.work.job.queue.advice
+    return step.advice.got_s + terms.valid_s if terms is not None else float("inf")
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -49,6 +49,9 @@
         row = run.vm
         if not run.wanted or (run.task, run.number) not in row.runs:
             return
+        if get_elapsed_s() >= run.ticket_until_s:
+            self.on_refused(run, StartRefusal.NO_TICKET)
+            return
         run.phase = RunPhase.ORDERED
         order = StartOrder(
             run.task,
