--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -39,7 +39,8 @@
 
     ``settled_s`` is when the VM last answered an order about it. ``wanted`` is false once its end
     no longer matters, such as after a cancellation. An ``evictable`` run may be stopped for more
-    urgent work, and one that ``saves`` goes on from its last checkpoint then.
+    urgent work, and one that ``saves`` goes on from its last checkpoint then. A ``watched`` run
+    should show progress: ``percent`` of its work was done at ``moved_s``.
     """
 
     task: TaskName
@@ -55,6 +56,10 @@
     settled_s: float = 0.0
     started_s: float = 0.0
     percent: float = 0.0
+    moved_s: float = 0.0
+    still_looks: int = 0
+    watched: bool = False
+    estimate_s: float = 0.0
     checkpoint: str = ""
     priority: int = 0
     evictable: bool = False
--- /dev/null
+++ b/caroblead/dispatch/health_test.py
@@ -0,0 +1,53 @@
+"""VMs that fail, stall or slow down are found and come back."""
+
+from ..core.resource import Resources
+from .fleet import Run, RunPhase, VmRow
+from .health import HealthBook, is_slow, mark_slow, take_end, take_progress
+from .interface import EndReason, ListedVm, RunningTask, TaskName
+
+
+def make_row(name="v"):
+    listed = ListedVm(name, 1, "s", "a:1", "z", "r", (), Resources(1000, 1000), False)
+    return VmRow(name, listed, 1, listed.capacity)
+
+
+def make_run(row, job="j", started_s=0.0):
+    task = TaskName(job, 0, 0, 0)
+    run = Run(task, 1, row, "t", Resources(1), RunPhase.RUNNING, started_s=started_s)
+    run.estimate_s, run.watched = 1.0, True
+    return run
+
+
+def test_vm_on_which_three_jobs_failed_in_a_row_rests():
+    book, row = HealthBook(), make_row()
+    for job in ("a", "b"):
+        assert not take_end(book, row, make_run(row, job), EndReason.FAILED, 1.0)
+    assert take_end(book, row, make_run(row, "c"), EndReason.FAILED, 1.0)
+    assert row.avoid_until_s > 1.0
+    take_end(book, row, make_run(row, "d"), EndReason.DONE, 9.0)
+    assert not take_end(book, row, make_run(row, "e"), EndReason.FAILED, 9.0)
+
+
+def test_slow_vm_is_found_against_the_others_and_tried_again():
+    book = HealthBook()
+    for name, took_s in (("a", 1.0), ("b", 1.2), ("c", 0.9), ("slow", 6.0)):
+        row = make_row(name)
+        for _ in range(4):
+            take_end(book, row, make_run(row), EndReason.DONE, took_s)
+    assert mark_slow(book, 10.0) == ["slow"]
+    assert is_slow(book, "slow", 11.0)
+    assert not is_slow(book, "slow", 30.0)
+    assert mark_slow(book, 30.0) == []
+
+
+def test_run_without_progress_over_several_looks_stands_still():
+    row = make_row()
+    run = make_run(row)
+
+    def look(percent, now_s):
+        return take_progress(run, RunningTask(run.task, 1, "", percent), now_s)
+
+    assert not any(look(percent, now_s) for percent, now_s in ((10, 1.0), (20, 1.7), (20, 2.4)))
+    assert not look(20, 3.0)
+    assert look(20, 3.7)
+    assert not look(21, 4.4)
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -28,6 +28,7 @@
     release_run,
     reset_incarnation,
 )
+from .health import STALL_AVOID_S, HealthBook, is_slow, mark_slow, take_end
 from .interface import (
     Configuration,
     EndedTask,
@@ -60,9 +61,6 @@
 MAX_DROPS_PER_SWEEP = 50
 # A step whose order was invalid is left alone for this long.
 INVALID_BACKOFF_S = 1.0
-# A VM on which runs of so many jobs failed in a row gets no new work for a while.
-FAILED_JOBS_TO_AVOID = 3
-FAILED_AVOID_S = 4.0
 # Nothing new is decided while the log has not answered for this long: it could not be carried out.
 MAX_RECORD_DELAY_S = 0.4
 
@@ -94,6 +92,7 @@
         self.watches: dict[str, asyncio.Task] = {}
         self.looks: dict[str, Watch] = {}
         self.broken_since: dict = {}
+        self.health = HealthBook()
         self.allowances: dict[str, Allowance] = {}
         self.wake = asyncio.Event()
         self.commit = CommitQueue(parts.log, term, proved_s, self.lose)
@@ -296,7 +295,8 @@
             reason=ended.reason,
             wanted=run.wanted,
         )
-        self._judge_vm(row, run, ended.reason)
+        if take_end(self.health, row, run, ended.reason, get_elapsed_s()):
+            log("vm:avoided", vm=row.name, failed_jobs=len(row.failed_jobs))
         if run.wanted:
             self._settle(run, ended.reason, ended.checkpoint)
         self.wake.set()
@@ -323,14 +323,14 @@
         work = self.works.get(run.task.job)
         return work and work.steps.get((run.task.occurrence, run.task.step))
 
-    def _judge_vm(self, row: VmRow, run: Run, reason: EndReason):
-        if reason is EndReason.DONE:
-            row.failed_jobs.clear()
-        elif reason is EndReason.FAILED:
-            row.failed_jobs.add(run.task.job)
-            if len(row.failed_jobs) >= FAILED_JOBS_TO_AVOID:
-                row.avoid_until_s = get_elapsed_s() + FAILED_AVOID_S
-                log("vm:avoided", vm=row.name, failed_jobs=len(row.failed_jobs))
+    def on_stalled(self, run: Run):
+        """Takes in that a run stands still: it goes on elsewhere, and its VM rests."""
+        step = self._find_step(run)
+        if step is None or not run.wanted or len(step.active) < _count_due(step):
+            return
+        run.vm.avoid_until_s = get_elapsed_s() + STALL_AVOID_S
+        log("vm:stalls", vm=run.vm.name, task=str(run.task), run=run.number, percent=run.percent)
+        self.desk.stop(run)
 
     def _take_refusal(self, run: Run, reason: StartRefusal):
         step = self._find_step(run)
@@ -362,7 +362,8 @@
             return
         configuration = self.parts.get_configuration()
         services = {name: queue.service for name, queue in configuration.queues.items()}
-        plan = plan_starts(steps, self.fleet, configuration.teams, services, now_s, wall_s)
+        slow = {name for name in self.health.paces if is_slow(self.health, name, now_s)}
+        plan = plan_starts(steps, self.fleet, configuration.teams, services, now_s, wall_s, slow)
         self._carry_out(plan.placements, now_s)
         for run in plan.evictions:
             log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
@@ -462,6 +463,8 @@
             for step in work.steps.values():
                 for run in list_broken_gang(step, now_s, self.broken_since):
                     self.desk.stop(run)
+        for name in mark_slow(self.health, now_s):
+            log("vm:slow", vm=name, slowness=round(self.health.paces[name].slowness, 2))
         self._drop_old_jobs()
         self.wake.set()
 
@@ -474,6 +477,11 @@
             ledger.ended_at_s.pop(name)
 
 
+def _count_due(step: StepWork) -> int:
+    """Returns how many tasks must run before one of them should show progress."""
+    return step.spec.count if step.spec.gang else 0
+
+
 def _get_ticket_end(step: StepWork) -> float:
     """Returns until when the tickets of a step can be used."""
     terms = step.work.job.queue.advice
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -18,6 +18,7 @@
 TICKET_MARGIN_S = 0.3
 # A VM off the rack of a task's data counts as so much worse a fit.
 FAR_PENALTY = 2.0
+SLOW_PENALTY = 10.0
 # How long a VM is kept for a step that found no room, and by how much that is prolonged.
 RESERVE_S = 1.2
 KEEP_S = 0.5
@@ -53,6 +54,7 @@
     free: dict[str, Resources]
     used: dict[str, Resources]
     plan: Plan = field(default_factory=Plan)
+    slow: frozenset[str] | set[str] = frozenset()
     evictions_left: int = MAX_EVICTIONS_PER_TICK
 
 
@@ -63,14 +65,18 @@
     services: dict[str, str],
     now_s: float,
     wall_s: float,
+    slow: frozenset[str] | set[str] = frozenset(),
 ) -> Plan:
     """Returns what to do now; ``services`` maps a queue to the service that runs its tasks.
 
+    The VMs named in ``slow`` are used when no other has room.
+
     For example a step of two tasks of a core each, with one VM that has a core free, gets one
     placement, or none if it is a gang.
     """
     rows = [row for row in fleet.rows.values() if is_usable(row, now_s)]
-    moment = Moment(fleet, now_s, {row.name: row.free for row in rows}, dict(fleet.used))
+    free = {row.name: row.free for row in rows}
+    moment = Moment(fleet, now_s, free, dict(fleet.used), slow=slow)
     drop_old_reservations(fleet, now_s)
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
@@ -191,7 +197,7 @@
     indexes = indexes[: min(len(indexes), allowance)]
     if not indexes:
         return []
-    slots = _count_slots(step, candidates, moment.free, need)
+    slots = _count_slots(step, candidates, moment, need)
     if step.spec.gang and step.spec.same_rack:
         slots = _choose_rack(slots, len(indexes)) or slots
     if step.spec.gang and sum(count for count, _, _ in slots) < len(indexes):
@@ -215,7 +221,7 @@
     return max(0, min(counts, default=1_000_000))
 
 
-def _count_slots(step: StepWork, candidates, room: dict[str, Resources], need: Resources):
+def _count_slots(step: StepWork, candidates, moment: Moment, need: Resources):
     """Returns how many of a step's tasks each VM can take, with its score, best fit first."""
     here: dict[str, int] = {}
     if step.spec.max_per_vm:
@@ -224,7 +230,7 @@
                 here[run.vm.name] = here.get(run.vm.name, 0) + 1
     slots = []
     for row in candidates:
-        free = room[row.name]
+        free = moment.free[row.name]
         if not fits(need, free):
             continue
         count = count_fit(need, free)
@@ -232,7 +238,10 @@
             count = min(count, step.spec.max_per_vm - here.get(row.name, 0))
         if count <= 0:
             continue
-        slots.append((count, _score(step, row, free, need), row))
+        score = _score(step, row, free, need)
+        if row.name in moment.slow:
+            score += SLOW_PENALTY
+        slots.append((count, score, row))
     slots.sort(key=lambda slot: (slot[1], slot[2].name))
     return slots
 
--- /dev/null
+++ b/caroblead/dispatch/rank_test.py
@@ -0,0 +1,105 @@
+"""The order under overload, and what may be stopped for urgent work."""
+
+from ..core.resource import Resources
+from ..jobs.data import Job, JobQueue, JobSpec, Progress, StepSpec
+from .evict import choose_evictions, choose_rows_to_empty
+from .fleet import Run, RunPhase, book_run
+from .interface import TaskName, TeamLimits
+from .planning import plan_starts
+from .planning_test import NOW_S, make_fleet, make_steps
+from .rank import Allowance, Tier, count_surplus, find_tier, rank_step
+from .work import open_job
+
+URGENT = JobQueue("u", "h", "/u/", "s", priority=0, stretch=1.5, latency_s=0.25)
+SLACK = JobQueue("l", "h", "/l/", "s", priority=2, stretch=4.0, latency_s=3.0)
+
+
+def make_step(queue, accepted_s, name="a", estimate_s=1.0):
+    spec = StepSpec(1, Resources(1000, 1), estimate_s)
+    (step,) = make_steps(spec, queue=queue, name=name)
+    work = open_job(Job(name, "t", queue, JobSpec("", (spec,)), accepted_s), Progress())
+    step.work.due_s, step.work.target_s = work.due_s, work.target_s
+    return step
+
+
+def test_work_in_time_goes_before_late_work_and_useless_work_goes_last():
+    late, useless = make_step(URGENT, 98.0, "late"), make_step(URGENT, 80.0, "useless")
+    fresh, slack = make_step(URGENT, 99.9, "fresh"), make_step(SLACK, 95.0, "slack")
+    assert [find_tier(step, 100.0) for step in (fresh, late, useless, slack)] == [
+        Tier.IN_TIME,
+        Tier.LATE,
+        Tier.USELESS,
+        Tier.IN_TIME,
+    ]
+    order = sorted((late, useless, fresh, slack), key=lambda step: rank_step(step, 100.0))
+    assert [step.key.job for step in order] == ["fresh", "slack", "late", "useless"]
+
+
+def test_what_a_team_sends_beyond_its_share_is_surplus_until_the_share_comes_back():
+    allowances: dict[str, Allowance] = {}
+    team = TeamLimits("t", 2, Resources())
+
+    def send(at_s):
+        return count_surplus(allowances, team, Job("a", "t", SLACK, JobSpec("", ()), at_s))
+
+    assert [send(10.0) for _ in range(6)] == [False] * 4 + [True] * 2
+    assert not send(10.5)
+    assert send(10.5)
+
+
+def add_running(fleet, row, number, priority, saves, started_s):
+    run = Run(TaskName("other", 0, 0, number), number, row, "o", Resources(1000, 1000))
+    run.phase, run.priority, run.started_s = RunPhase.RUNNING, priority, started_s
+    run.evictable, run.saves = True, saves
+    book_run(fleet, run)
+    return run
+
+
+def test_urgent_step_stops_the_run_that_loses_least():
+    fleet = make_fleet(1)
+    row = fleet.rows["v0"]
+    keeps = add_running(fleet, row, 1, 2, True, NOW_S - 50)
+    add_running(fleet, row, 2, 2, False, NOW_S - 4)
+    add_running(fleet, row, 3, 0, True, NOW_S - 50)
+    add_running(fleet, row, 4, 2, False, NOW_S - 5)
+    step = make_step(URGENT, 0.9)
+    plan = plan_starts([step], fleet, {}, {}, NOW_S, 1.0)
+    assert plan.evictions == [keeps]
+    assert fleet.reservations["v0"].step == step.key
+    again = plan_starts([step], fleet, {}, {}, NOW_S + 0.01, 1.0)
+    assert again.evictions == []
+
+
+def test_late_work_stops_nothing():
+    fleet = make_fleet(1, Resources(1000, 1000))
+    add_running(fleet, fleet.rows["v0"], 1, 2, True, NOW_S - 1)
+    plan = plan_starts([make_step(URGENT, -2.0)], fleet, {}, {}, NOW_S, 1.0)
+    assert plan.evictions == []
+
+
+def test_gang_without_room_keeps_vms_that_less_urgent_work_may_not_take():
+    fleet = make_fleet(2)
+    for row in fleet.rows.values():
+        run = add_running(fleet, row, 1, 1, False, NOW_S - 1)
+        run.evictable = False
+    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=5.0)
+    (gang,) = make_steps(StepSpec(8, Resources(1000, 1), 1.0, gang=True), queue=queue, name="g")
+    (small,) = make_steps(StepSpec(6, Resources(1000, 1), 1.0), queue=SLACK, name="s")
+    (urgent,) = make_steps(StepSpec(1, Resources(1000, 1), 1.0), queue=URGENT, name="u")
+    plan = plan_starts([gang, small, urgent], fleet, {}, {}, NOW_S, 1.0)
+    assert set(fleet.reservations) == {"v0", "v1"}
+    assert [item.step.key.job for item in plan.placements] == ["u"]
+
+
+def test_eviction_for_a_gang_is_whole_or_not_at_all():
+    fleet = make_fleet(1)
+    row = fleet.rows["v0"]
+    for number in range(1, 4):
+        add_running(fleet, row, number, 2, True, NOW_S - 1)
+    queue = JobQueue("g", "h", "/g/", "s", priority=1)
+    (gang,) = make_steps(StepSpec(5, Resources(1000, 1), gang=True), queue=queue)
+    free = {"v0": row.free}
+    assert choose_evictions(gang, [row], free, 5, NOW_S) is None
+    assert choose_rows_to_empty(gang, [row], free, 5) == []
+    (fits,) = make_steps(StepSpec(4, Resources(1000, 1), gang=True), queue=queue)
+    assert len(choose_evictions(fits, [row], free, 4, NOW_S).runs) == 3
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -14,6 +14,7 @@
     observe_clock,
     observe_first_answer,
 )
+from .health import take_progress
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
 
 # A renewal waits this long for an end before it comes back by itself.
@@ -127,7 +128,8 @@
             self.desk.spawn(self.desk.stop_stranger(row, item))
 
     def _take_running(self, run: Run, item):
-        run.percent = item.percent
+        if take_progress(run, item, get_elapsed_s()):
+            self.events.on_stalled(run)
         if item.checkpoint:
             run.checkpoint = item.checkpoint
         if run.phase in (RunPhase.UNSURE, RunPhase.INHERITED):
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -143,6 +143,8 @@
     spec = step.spec
     run.priority = step.work.job.queue.priority
     run.saves = spec.checkpoints
+    run.estimate_s = spec.estimate_s
+    run.watched = not (spec.endless or spec.fills)
     run.evictable = not (spec.gang or spec.endless or spec.miss_tolerance)
     return run
 
--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -18,10 +18,15 @@
 from ..jobs.record import KeyedRecord, RecordKind, Term, encode_term, make_key
 from .tail import Tail
 
-# A leader that shows nothing in the log for this long is replaced.
-SILENCE_S = 1.0
+# A leader that shows nothing in the log for this long is replaced: so many of its usual gaps and a
+# little more, within bounds. A slow store makes the gaps longer, and the patience with them.
+GAPS_OF_SILENCE = 2.0
+SILENCE_SLACK_S = 0.35
+MIN_SILENCE_S = 0.6
+MAX_SILENCE_S = 1.5
+GAP_WEIGHT = 0.2
 # Nodes try one after another, so that one of them usually wins without a rival.
-MAX_JITTER_S = 0.3
+MAX_JITTER_S = 0.2
 RESIGNED_JITTER_S = 0.15
 APPEND_TIMEOUT_S = 1.0
 CONSIDER_S = 0.05
@@ -39,6 +44,7 @@
         self.tail = tail
         self.random = random.Random(seed)
         self.heard_s = get_elapsed_s()
+        self.gap_s = MIN_SILENCE_S / 2
         self.term: Term | None = None
         self.resigned = False
         self.jitter_s = self._draw_jitter()
@@ -57,7 +63,14 @@
 
     def hear_leader(self):
         """Takes in that the leader showed itself in the log."""
-        self.heard_s = get_elapsed_s()
+        now_s = get_elapsed_s()
+        self.gap_s += GAP_WEIGHT * (min(now_s - self.heard_s, MAX_SILENCE_S) - self.gap_s)
+        self.heard_s = now_s
+
+    def get_patience_s(self) -> float:
+        """Returns for how long the leader may show nothing."""
+        usual_s = GAPS_OF_SILENCE * self.gap_s + SILENCE_SLACK_S
+        return min(MAX_SILENCE_S, max(MIN_SILENCE_S, usual_s))
 
     def hear_resignation(self):
         """Takes in that the leader has ended its term."""
@@ -87,7 +100,7 @@
             return False
         if self.term is None or self.resigned:
             return now_s - self.heard_s >= self.jitter_s
-        limit_s = SILENCE_S + self.jitter_s
+        limit_s = self.get_patience_s() + self.jitter_s
         # The log itself must have been heard after the leader should have shown itself.
         return self.tail.answered_s - self.heard_s >= limit_s
 
