Keep an order that was not answered apart until a VM's next life has refused it

Cause: a VM may start again under its name, having seen no term; a start that was lost on the way is then carried out by the next life while its task already runs elsewhere. Its deadline does not help, as the new life's clock starts anew. Found by reading; the test failed first (the task ran twice). Now such a run waits until the new life lists without it after a stop.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -89,6 +89,7 @@
     strangers: int = 0
     avoid_until_s: float = 0.0
     failures: int = 0
+    reset_s: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
 
     def make_target(self) -> Target:
@@ -181,7 +182,7 @@
     """Returns whether every lease ever given to a silent VM has certainly lapsed."""
     if not row.answered:
         wait_s = fleet.lease_s * (1 + 2 * CLOCK_DRIFT) + LAPSE_MARGIN_S
-        return now_s - fleet.term_began_s > wait_s
+        return now_s - max(fleet.term_began_s, row.reset_s) > wait_s
     slowest_ms = row.clock_ms + (now_s - row.clock_at_s) * 1000 * (1 - CLOCK_DRIFT)
     lapsed = slowest_ms >= row.deadline_ms + LAPSE_MARGIN_S * 1000
     return lapsed
@@ -199,11 +200,12 @@
     )
 
 
-def reset_incarnation(row: VmRow, incarnation: int):
+def reset_incarnation(row: VmRow, incarnation: int, now_s: float):
     """Forgets the lease of a VM that has started again; its runs must be ended by the caller."""
     row.incarnation = incarnation
     row.clock_ms = row.deadline_ms = row.seen = row.strangers = 0
     row.clock_at_s = row.heard_s = 0.0
     row.answered = False
+    row.reset_s = now_s
     row.failures = 0
     row.failed_jobs.clear()
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -174,9 +174,7 @@
         run = Run(task, record.number, row, step.work.job.team, need, RunPhase.INHERITED)
         book_run(self.fleet, run)
         add_run(step, describe_run(step, run))
-        if row.incarnation and row.incarnation != record.incarnation:
-            self.on_gone(run, "its VM has started again")
-        elif not row.incarnation:
+        if not row.incarnation:
             row.incarnation = record.incarnation
 
     def _add_unlisted(self, name: str) -> VmRow:
@@ -257,11 +255,21 @@
             task.cancel()
 
     def on_reborn(self, row: VmRow, incarnation: int):
-        """Takes in that a VM has started again: nothing of its former life runs any more."""
+        """Takes in that a VM has started again: nothing of its former life runs any more.
+
+        An order that was not answered may still be carried out by the new life. Until that life has
+        refused it, by having seen this term or a stop, its task is not run elsewhere.
+        """
         log("vm:started_again", vm=row.name, incarnation=incarnation, runs=len(row.runs))
+        reset_incarnation(row, incarnation, get_elapsed_s())
         for run in list(row.runs.values()):
-            self.on_gone(run, "its VM has started again")
-        reset_incarnation(row, incarnation)
+            if run.phase is RunPhase.INHERITED:
+                continue
+            if run.unanswered or run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.UNSURE
+                run.unanswered = True
+            else:
+                self.on_gone(run, "its VM has started again")
 
     def on_fenced(self, vm: str):
         """Takes in that a VM has seen a later term."""
--- a/caroblead/node/program_test.py
+++ b/caroblead/node/program_test.py
@@ -210,6 +210,22 @@
     judge(play(scenario))
 
 
+def test_order_carried_out_late_by_the_next_life_of_a_vm_doubles_nothing():
+    async def scenario():
+        site = await start_site(vm_count=2)
+        site.park.late_s = 3.0
+        site.park.late_orders = 2
+        await submit(site, "n0", make_spec(one_step(), seconds=6))
+        await asyncio.sleep(0.05)
+        site.park.crash("vm-0", 1.0)
+        await asyncio.sleep(0.6)
+        put_vm_entry(site, list_vm(0, 2))
+        await asyncio.sleep(25)
+        return site
+
+    judge(play(scenario))
+
+
 def test_vm_cut_off_with_its_leader_killed_runs_nothing_twice():
     async def scenario():
         site = await start_site()
