Tell one job's story from all logs, and judge no history without events

caroblead explain ID FILES puts the lines of a job in order of time, names gaps and what went on in them. caroblead timeline check over files without one event said that all promises hold and exited with 0; it now exits with 4 and says so, with one line a file. The commands that look at files have a module.

--- /dev/null
+++ b/caroblead/events/story_test.py
@@ -0,0 +1,53 @@
+"""Gathering one job's lines over all processes."""
+
+import json
+
+from .story import gather_story, write_story
+
+
+def make_line(at_s, node, kind, **fields):
+    return json.dumps({"timestamp": at_s, "node": node, "message_type": kind, **fields})
+
+
+SOURCES = [
+    (
+        "n1.log",
+        [
+            make_line(10.0, "n1", "job:accepted", job="aa", queue="q"),
+            "not a log line",
+            make_line(10.2, "n1", "job:accepted", job="bb", queue="q"),
+            make_line(12.9, "n1", "job:shown", job="aa", state="done"),
+        ],
+    ),
+    (
+        "n2.log",
+        [
+            "  3.1 n2 " + make_line(10.1, "n2", "task:placed", task="aa.0.0.1", run=1, vm="v"),
+            make_line(11.0, "n2", "leader:lost", term=3),
+            make_line(12.8, "n2", "job:ended", job="aa", state="done"),
+        ],
+    ),
+]
+
+
+def test_lines_of_one_job_come_in_order_of_time_over_all_files():
+    story = gather_story("aa", SOURCES)
+    assert [line.kind for line in story.lines] == [
+        "job:accepted",
+        "task:placed",
+        "job:ended",
+        "job:shown",
+    ]
+    assert dict(story.passed_over) == {"n1.log": 1}
+
+
+def test_gap_is_named_with_what_went_on_meanwhile():
+    written = write_story(gather_story("aa", SOURCES))
+    gap = next(number for number, text in enumerate(written) if "2.700 s without a line" in text)
+    assert "leader:lost" in written[gap + 1]
+    assert "0.100 n2" in written[1]
+
+
+def test_story_that_breaks_off_says_so_and_an_unknown_job_has_none():
+    assert write_story(gather_story("bb", SOURCES))[-1].strip() == "nothing more is known of it"
+    assert write_story(gather_story("cc", SOURCES)) == []
--- a/caroblead/tools/command.py
+++ b/caroblead/tools/command.py
@@ -22,16 +22,12 @@
 from rich.table import Table
 
 from .. import __version__
-from ..config.setting import load_settings
 from ..config.ticket import parse_ticket
-from ..events.checker import PROMISES
-from ..events.timeline import encode_record, read_records
 from .demo import run_demo, run_load
+from .inspection import EXIT_REFUSED, EXIT_USAGE, explain_job, settings_app, timeline_app
 from .load import summarize_waits
 from .programs import describe_problem, load_or_exit, open_timeline
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
 TIMEOUT_S = 120.0
 KEY_BYTES = 24
@@ -40,10 +36,9 @@
 app = cyclopts.App(name="caroblead", help="Operate and use caroblead.", version=__version__)
 ticket_app = cyclopts.App(name="ticket", help="Check, publish and show change tickets.")
 key_app = cyclopts.App(name="key", help="Grant and withdraw teams' keys.")
-settings_app = cyclopts.App(name="settings", help="Check settings files.")
-timeline_app = cyclopts.App(name="timeline", help="Show and check the events of all processes.")
 for child in (ticket_app, key_app, settings_app, timeline_app):
     app.command(child)
+app.command(explain_job, name="explain")
 
 Gate = Annotated[str, Parameter(name="--gate", env_var="CAROBLEAD_GATE", help="URL of a gate")]
 Key = Annotated[str, Parameter(name="--key", env_var="CAROBLEAD_KEY", help="bearer key")]
@@ -288,84 +283,6 @@
     return finish(call_gate("POST", f"{gate}/v1/drain", key), json)
 
 
-@settings_app.command(name="check")
-def check_settings(file: str) -> int:
-    """Check a settings file and print every error with its field and range."""
-    checked = load_settings(file)
-    for fault in checked.faults:
-        print(describe_problem(fault), file=sys.stderr)
-    if not checked.faults:
-        print(f"{file}: {len(checked.value.nodes)} nodes, no errors")
-    return EXIT_USAGE if checked.faults else 0
-
-
-def _read_timeline(files: list[str]) -> list:
-    paths = []
-    for name in files:
-        path = Path(name)
-        paths += sorted(path.glob("*.events.jsonl")) if path.is_dir() else [path]
-    missing = [str(path) for path in paths if not path.exists()]
-    if missing or not paths:
-        print(f"no such file: {', '.join(missing or files)}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    checked = read_records(paths)
-    for fault in checked.faults:
-        print(f"passed over: {describe_problem(fault)}", file=sys.stderr)
-    return checked.value
-
-
-@timeline_app.command(name="show")
-def show_timeline(*files: str, match: str = "", json: AsJson = False) -> int:
-    """Merge the events of many processes into one view in causal order.
-
-    Parameters
-    ----------
-    files: event files, or directories of them
-    match: show only events that contain this text
-    """
-    for record in _read_timeline(list(files)):
-        line = encode_record(record)
-        if match not in line:
-            continue
-        if json:
-            print(line)
-        else:
-            event = record.event
-            values = " ".join(f"{name}={getattr(event, name)}" for name in event.__slots__)
-            print(f"{record.clock:>8} {record.node:<16} {type(event).__name__:<16} {values}")
-    return 0
-
-
-@timeline_app.command(name="check")
-def check_timeline(*files: str, json: AsJson = False) -> int:
-    """Check the ten promises against a history; exit 1 when one is refuted.
-
-    Parameters
-    ----------
-    files: event files, or directories of them
-    """
-    history = _read_timeline(list(files))
-    total = 0
-    for name, check in PROMISES.items():
-        violations = check(history)
-        total += len(violations)
-        if json:
-            print(_write_check(name, violations))
-            continue
-        print(f"{'refuted' if violations else 'holds':<8} {name}")
-        for violation in violations[:10]:
-            print(f"    {violation.detail}")
-            for record in violation.records:
-                print(f"        {encode_record(record)}")
-    print(f"{len(history)} events, {total} violations")
-    return EXIT_REFUSED if total else 0
-
-
-def _write_check(name: str, violations: list) -> str:
-    details = [violation.detail for violation in violations]
-    return json.dumps({"promise": name, "violations": details})
-
-
 @app.command(name="demo")
 def demonstrate(
     *,
--- /dev/null
+++ b/caroblead/tools/inspection.py
@@ -0,0 +1,154 @@
+"""The commands that look at files: settings, the time line and the logs of nodes.
+
+Exit codes: 0 when all is well, 1 when a check failed or nothing was found, 2 when the command or
+its input was wrong, 4 when there was nothing to judge.
+"""
+
+import json
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+from cyclopts import Parameter
+
+from ..config.setting import load_settings
+from ..core.outcome import Checked
+from ..events.checker import PROMISES
+from ..events.story import gather_story, write_story
+from ..events.timeline import encode_record, read_records
+from ..node.setting import load_node_settings
+from .programs import describe_problem
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_NO_EVIDENCE = 4
+
+settings_app = cyclopts.App(name="settings", help="Check settings files.")
+timeline_app = cyclopts.App(name="timeline", help="Show and check the events of all processes.")
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="print JSON only")]
+
+
+@settings_app.command(name="check")
+def check_settings(file: str) -> int:
+    """Check the settings of a site, or of one node, and print every error with its field."""
+    checked = _load_any_settings(file)
+    for fault in checked.faults:
+        print(describe_problem(fault), file=sys.stderr)
+    if not checked.faults:
+        nodes = len(getattr(checked.value, "nodes", [checked.value]))
+        print(f"{file}: {nodes} {'node' if nodes == 1 else 'nodes'}, no errors")
+    return EXIT_USAGE if checked.faults else 0
+
+
+def _load_any_settings(file: str) -> Checked:
+    try:
+        is_node = "callers" in json.loads(Path(file).read_text())
+    except (OSError, ValueError, TypeError):
+        is_node = False
+    return load_node_settings(file) if is_node else load_settings(file)
+
+
+def _read_timeline(files: list[str]) -> list:
+    paths = []
+    for name in files:
+        path = Path(name)
+        paths += sorted(path.glob("*.events.jsonl")) if path.is_dir() else [path]
+    missing = [str(path) for path in paths if not path.exists()]
+    if missing or not paths:
+        print(f"no such file: {', '.join(missing or files)}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    checked = read_records(paths)
+    passed_over = Counter(fault.peer for fault in checked.faults)
+    for path, count in passed_over.items():
+        print(f"{path}: {count} lines passed over, which are no events", file=sys.stderr)
+    return checked.value
+
+
+@timeline_app.command(name="show")
+def show_timeline(*files: str, match: str = "", json: AsJson = False) -> int:
+    """Merge the events of many processes into one view in causal order.
+
+    Parameters
+    ----------
+    files: event files, or directories of them
+    match: show only events that contain this text
+    """
+    for record in _read_timeline(list(files)):
+        line = encode_record(record)
+        if match not in line:
+            continue
+        if json:
+            print(line)
+        else:
+            event = record.event
+            values = " ".join(f"{name}={getattr(event, name)}" for name in event.__slots__)
+            print(f"{record.clock:>8} {record.node:<16} {type(event).__name__:<16} {values}")
+    return 0
+
+
+@timeline_app.command(name="check")
+def check_timeline(*files: str, json: AsJson = False) -> int:
+    """Check the ten promises against a history; exit 1 when one is refuted, 4 without any event.
+
+    Parameters
+    ----------
+    files: event files, or directories of them
+    """
+    history = _read_timeline(list(files))
+    if not history:
+        print("no event was found, so nothing is proved", file=sys.stderr)
+        return EXIT_NO_EVIDENCE
+    total = 0
+    for name, check in PROMISES.items():
+        violations = check(history)
+        total += len(violations)
+        if json:
+            print(_write_check(name, violations))
+            continue
+        print(f"{'refuted' if violations else 'holds':<8} {name}")
+        for violation in violations[:10]:
+            print(f"    {violation.detail}")
+            for record in violation.records:
+                print(f"        {encode_record(record)}")
+    print(f"{len(history)} events, {total} violations")
+    return EXIT_REFUSED if total else 0
+
+
+def _write_check(name: str, violations: list) -> str:
+    details = [violation.detail for violation in violations]
+    return json.dumps({"promise": name, "violations": details})
+
+
+def explain_job(job: str, *files: str) -> int:
+    """Tell the story of one job from the logs of all nodes, in order of time.
+
+    Parameters
+    ----------
+    job: the job's id
+    files: log files, or directories of them; standard input when none is named
+    """
+    story = gather_story(job, _open_sources(files))
+    for source, count in story.passed_over.items():
+        if count:
+            print(f"{source}: {count} lines passed over, which are no log lines", file=sys.stderr)
+    written = write_story(story)
+    if not written:
+        print(f"no line tells of {job}", file=sys.stderr)
+        return EXIT_REFUSED
+    print("\n".join(written))
+    return 0
+
+
+def _open_sources(files: tuple[str, ...]):
+    if not files:
+        yield "standard input", sys.stdin
+    for name in files:
+        path = Path(name)
+        for item in sorted(path.iterdir()) if path.is_dir() else [path]:
+            if not item.exists():
+                print(f"no such file: {item}", file=sys.stderr)
+                sys.exit(EXIT_USAGE)
+            with item.open(errors="replace") as opened:
+                yield str(item), opened
