--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -7,6 +7,7 @@
 
 import random
 import secrets
+import zlib
 from collections.abc import Callable
 
 from transitions import Machine
@@ -15,7 +16,7 @@
 from ..core.logsink import log
 from ..dispatch.interface import Fence, FencedError, KeyedLog
 from ..fleet.interface import LogError
-from ..jobs.record import KeyedRecord, RecordKind, Term, encode_term, make_key
+from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, Term, encode_term, make_key
 from .tail import Tail
 
 # A leader that shows nothing in the log for this long is replaced: so many of its usual gaps and a
@@ -47,6 +48,7 @@
         self.gap_s = MIN_SILENCE_S / 2
         self.term: Term | None = None
         self.resigned = False
+        self.extra_patience_s = 0.0
         self.jitter_s = self._draw_jitter()
         self.tried_number = 0
         self.tried_s = 0.0
@@ -100,7 +102,7 @@
             return False
         if self.term is None or self.resigned:
             return now_s - self.heard_s >= self.jitter_s
-        limit_s = self.get_patience_s() + self.jitter_s
+        limit_s = self.get_patience_s() + self.jitter_s + self.extra_patience_s
         # The log itself must have been heard after the leader should have shown itself.
         return self.tail.answered_s - self.heard_s >= limit_s
 
@@ -125,3 +127,17 @@
             self.step_back()
             self.heard_s = get_elapsed_s()
             self.jitter_s = self._draw_jitter()
+
+
+def list_candidates(nodes: dict[str, NodeRecord]) -> list[str]:
+    """Returns the nodes in the order in which they should stand, the first ones from many zones.
+
+    All nodes agree on the order, which depends on the names alone.
+    """
+    places: dict[str, int] = {}
+    order = []
+    for node in sorted(nodes, key=lambda name: (zlib.crc32(name.encode()), name)):
+        zone = nodes[node].zone
+        order.append((places.get(zone, 0), len(order), node))
+        places[zone] = places.get(zone, 0) + 1
+    return [node for _, _, node in sorted(order)]
--- a/caroblead/node/intake.py
+++ b/caroblead/node/intake.py
@@ -14,6 +14,7 @@
 from ..jobs.record import KeyedRecord, RecordKind, encode_job, make_key
 from .appender import Appender, Stored
 from .configuration import STALE_PART, ConfigurationBook, find_queue
+from .news import NewsDesk
 from .setting import NodeSettings
 from .tail import Tail
 
@@ -87,6 +88,7 @@
         book_tail: Tail,
         ledger_tail: Tail,
         appender: Appender,
+        news: NewsDesk,
         get_ledger,
     ):
         self.settings = settings
@@ -94,6 +96,7 @@
         self.book_tail = book_tail
         self.ledger_tail = ledger_tail
         self.appender = appender
+        self.news = news
         self.get_ledger = get_ledger
 
     def admit(self, host: str, path: str, key: str | None) -> Admission | Rejected:
@@ -159,9 +162,8 @@
     async def show(self, job_id: str) -> Shown | Rejected:
         """Returns the state of a job."""
         state = find_state(self.get_ledger(), job_id)
-        if state not in FINAL_STATES:
-            await self.ledger_tail.refresh()
-            state = find_state(self.get_ledger(), job_id)
+        if state is not None and state not in FINAL_STATES:
+            state = await self._ask_news(job_id)
         if state is None:
             rejected = await self._look_up(job_id)
             if rejected is not None:
@@ -175,6 +177,14 @@
         )
         return Shown(state)
 
+    async def _ask_news(self, job_id: str) -> JobState | None:
+        newest = await self.news.ask(job_id)
+        if newest is None:
+            await self.ledger_tail.refresh()
+        own = find_state(self.get_ledger(), job_id)
+        # A final state or a cancellation known here stands, whatever the leader had read by then.
+        return own if own in FINAL_STATES or newest is None else newest
+
     async def cancel(self, job_id: str, budget_s: float) -> Cancelled | Rejected | InDoubt:
         """Cancels a job for good."""
         state = find_state(self.get_ledger(), job_id)
--- a/caroblead/node/peer.py
+++ b/caroblead/node/peer.py
@@ -1,11 +1,20 @@
-"""Calls between nodes: the leader has other nodes put questions to the advice service."""
+"""Calls between nodes.
+
+The leader has other nodes put questions to the advice service, and other nodes ask the leader for
+the state of a job.
+"""
 
 from ..dispatch.counsel import Adviser
 from ..dispatch.interface import Advice, Advisor
 from ..events.clock import LogicalClock
+from ..jobs.data import JobState
 from ..jobs.record import NodeRecord
 from ..wire.call import Address, Caller, CallError, WireServer
 from ..wire.gen import ttypes
+from .news import NewsDesk
+
+# How much longer than its wait an answer about a job may take.
+STATE_SLACK_S = 0.15
 
 
 class Peers:
@@ -15,7 +24,9 @@
         clock = LogicalClock()
         self.advisor = advisor
         self.caller = Caller(node, f"{node}/node", clock)
-        self.server = WireServer(f"{node}/node", clock, {ttypes.AskAdvice: self._answer_ask})
+        self.news: NewsDesk | None = None
+        handlers = {ttypes.AskAdvice: self._answer_ask, ttypes.AskState: self._answer_state}
+        self.server = WireServer(f"{node}/node", clock, handlers)
 
     async def start(self, host: str, port: int):
         """Listens for peers."""
@@ -45,6 +56,22 @@
 
         return Adviser(record.node, ask)
 
+    async def _answer_state(self, message: ttypes.AskState, envelope) -> ttypes.StateReply:
+        if self.news is None or not self.news.is_leading():
+            return ttypes.StateReply(state=None)
+        state = await self.news.wait_for_end(message.job, message.wait_ms / 1000)
+        return ttypes.StateReply(state=None if state is None else str(state))
+
+    async def ask_state(self, record: NodeRecord, job: str, wait_s: float) -> JobState | None:
+        """Asks a peer for the state of a job; nothing if it does not lead or does not answer."""
+        address = Address(record.node, record.host, record.port)
+        message = ttypes.AskState(job=job, wait_ms=int(wait_s * 1000))
+        try:
+            reply = await self.caller.call(address, message, wait_s + STATE_SLACK_S)
+        except CallError:
+            return None
+        return JobState(reply.state) if reply.state else None
+
     async def close(self):
         """Closes all connections."""
         await self.caller.close()
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -9,6 +9,7 @@
 from ..dispatch.counsel import Adviser, Counsel
 from ..dispatch.interface import Advisor, Batch, Configuration, KeyedLog, VmControl
 from ..dispatch.leader import Leader, LeaderParts
+from ..jobs.data import JobState
 from ..jobs.ledger import (
     LeaderHeard,
     LeaderResigned,
@@ -20,16 +21,21 @@
 from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, encode_node, make_key
 from .appender import Appender, Stored
 from .configuration import ConfigurationBook
-from .election import CONSIDER_S, Election
+from .election import CONSIDER_S, Election, list_candidates
 from .intake import Intake
 from .metric import NodeMetrics, write_node_metrics
+from .news import NewsDesk
 from .peer import Peers
 from .registry import Registry
 from .setting import NodeSettings
 from .tail import Tail
 
 LEDGER_WAIT_S = 0.2
-LEDGER_PAUSE_S = 0.12
+LEDGER_PAUSE_S = 0.1
+# Nodes that don't stand next for the leadership read less often and stand later.
+CANDIDATES = 3
+LEISURE_PAUSE_S = 0.3
+LEISURE_PATIENCE_S = 0.3
 LEADER_LEDGER_PAUSE_S = 0.015
 CONFIGURATION_WAIT_S = 0.4
 REGISTRY_WAIT_S = 1.0
@@ -88,8 +94,17 @@
         self.election.on_displaced = self._lose_term
         self.peers = Peers(settings.node, adapters.advisor)
         self.counsel = Counsel(Adviser(settings.node, adapters.advisor.ask), get_elapsed_s)
+        self.news = NewsDesk(lambda: self.ledger, lambda: self.leader is not None)
+        self.news.ask_leader = self._ask_leader
+        self.peers.news = self.news
         self.intake = Intake(
-            settings, book, self.book_tail, self.ledger_tail, self.appender, lambda: self.ledger
+            settings,
+            book,
+            self.book_tail,
+            self.ledger_tail,
+            self.appender,
+            self.news,
+            lambda: self.ledger,
         )
         self.leader: Leader | None = None
         self.leader_appends = 0
@@ -149,6 +164,8 @@
             self._take_node(record.name)
         if isinstance(change, LeaderHeard | ProgressMade):
             self.election.hear_leader()
+            if isinstance(change, ProgressMade):
+                self.news.announce(change.job_id)
         elif isinstance(change, LeaderResigned):
             self.election.hear_resignation()
         elif isinstance(change, TermBegun):
@@ -170,6 +187,23 @@
             self.counsel.remove_adviser(name)
         else:
             self.counsel.put_adviser(self.peers.make_adviser(record))
+        self._choose_pace()
+
+    def _choose_pace(self):
+        """Reads the ledger closely where this node may have to lead next, and else at leisure."""
+        if self.leader is None:
+            first = list_candidates(self.ledger.nodes)[:CANDIDATES]
+            close = not first or self.settings.node in first
+            self.ledger_tail.pause_s = LEDGER_PAUSE_S if close else LEISURE_PAUSE_S
+            self.election.extra_patience_s = 0.0 if close else LEISURE_PATIENCE_S
+
+    async def _ask_leader(self, job_id: str, wait_s: float) -> JobState | None:
+        """Asks the node that leads, as far as this node knows."""
+        term = self.ledger.term
+        record = self.ledger.nodes.get(term.node) if term is not None else None
+        if record is None or record.incarnation != term.incarnation:
+            return None
+        return await self.peers.ask_state(record, job_id, wait_s)
 
     def _on_registry(self):
         if self.leader is not None:
@@ -214,7 +248,7 @@
         self.leader_appends += self.leader.commit.appends
         self.leader.close()
         self.leader = None
-        self.ledger_tail.pause_s = LEDGER_PAUSE_S
+        self._choose_pace()
         self.registry_tail.pause_s = REGISTRY_PAUSE_S
 
     # Stopping.
--- a/caroblead/wire/frame.py
+++ b/caroblead/wire/frame.py
@@ -27,6 +27,8 @@
     11: ttypes.Drain,
     12: ttypes.AskAdvice,
     13: ttypes.AdviceReply,
+    14: ttypes.AskState,
+    15: ttypes.StateReply,
 }
 KIND_NUMBERS = {message: number for number, message in MESSAGES.items()}
 
--- a/caroblead/wire/gen/ttypes.py
+++ b/caroblead/wire/gen/ttypes.py
@@ -2078,6 +2078,154 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class AskState(object):
+    """
+    Attributes:
+     - job
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'job',
+        'wait_ms',
+    )
+
+
+    def __init__(self, job=None, wait_ms=None,):
+        self.job = job
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskState')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StateReply(object):
+    """
+    Attributes:
+     - state
+
+    """
+
+    __slots__ = (
+        'state',
+    )
+
+
+    def __init__(self, state=None,):
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StateReply')
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 1)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2235,5 +2383,16 @@
     (1, TType.BOOL, 'answered', None, None, ),  # 1
     (2, TType.LIST, 'tickets', (TType.STRUCT, [Ticket, None], False), None, ),  # 2
 )
+all_structs.append(AskState)
+AskState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
+all_structs.append(StateReply)
+StateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/caroblead/wire/messages.thrift
+++ b/caroblead/wire/messages.thrift
@@ -141,3 +141,12 @@
   1: bool answered,
   2: list<Ticket> tickets,
 }
+
+struct AskState {
+  1: string job,
+  2: i32 wait_ms,
+}
+
+struct StateReply {
+  1: optional string state,
+}
