--- a/caroblead/dispatch/health.py
+++ b/caroblead/dispatch/health.py
@@ -17,6 +17,7 @@
 STALL_S = 1.6
 STALL_LOOKS = 3
 STALL_AVOID_S = 3.0
+DONE_PERCENT = 100.0
 # The weight of the newest run in a VM's slowness, and what counts as slow against the other VMs.
 SLOWNESS_WEIGHT = 0.3
 SLOW_RATIO = 2.0
@@ -57,7 +58,7 @@
 
 
 def _take_duration(book: HealthBook, row: VmRow, run: Run, now_s: float):
-    if run.estimate_s <= 0 or run.checkpoint:
+    if run.estimate_s <= 0 or run.checkpoint or not run.started_s:
         return
     pace = book.paces.setdefault(row.name, Pace())
     ratio = (now_s - run.started_s) / run.estimate_s
@@ -92,7 +93,7 @@
     if item.percent != run.percent or not run.moved_s:
         run.percent, run.moved_s, run.still_looks = item.percent, now_s, 0
         return False
-    if run.phase is not RunPhase.RUNNING or not run.watched:
+    if run.phase is not RunPhase.RUNNING or not run.watched or item.percent >= DONE_PERCENT:
         return False
     run.still_looks += 1
     return run.still_looks >= STALL_LOOKS and now_s - run.moved_s >= STALL_S
--- a/caroblead/dispatch/health_test.py
+++ b/caroblead/dispatch/health_test.py
@@ -11,7 +11,7 @@
     return VmRow(name, listed, 1, listed.capacity)
 
 
-def make_run(row, job="j", started_s=0.0):
+def make_run(row, job="j", started_s=1.0):
     task = TaskName(job, 0, 0, 0)
     run = Run(task, 1, row, "t", Resources(1), RunPhase.RUNNING, started_s=started_s)
     run.estimate_s, run.watched = 1.0, True
@@ -30,7 +30,7 @@
 
 def test_slow_vm_is_found_against_the_others_and_tried_again():
     book = HealthBook()
-    for name, took_s in (("a", 1.0), ("b", 1.2), ("c", 0.9), ("slow", 6.0)):
+    for name, took_s in (("a", 2.0), ("b", 2.2), ("c", 1.9), ("slow", 7.0)):
         row = make_row(name)
         for _ in range(4):
             take_end(book, row, make_run(row), EndReason.DONE, took_s)
@@ -40,6 +40,16 @@
     assert mark_slow(book, 30.0) == []
 
 
+def test_run_of_a_former_term_says_nothing_of_its_vms_pace():
+    book = HealthBook()
+    for name in ("a", "b", "c", "d"):
+        row = make_row(name)
+        for _ in range(4):
+            started_s = 0.0 if name == "d" else 5000.0
+            take_end(book, row, make_run(row, started_s=started_s), EndReason.DONE, 5001.0)
+    assert mark_slow(book, 5002.0) == []
+
+
 def test_run_without_progress_over_several_looks_stands_still():
     row = make_row()
     run = make_run(row)
