Part the leader by concern, test callers' HTTP end to end, refuse sooner once the log is lost

A body over the client library's own limit got 500, now 413. A node that had lost the log for 1.2 s still let a caller wait for another 1.2 s and told it 504 where 503 was certain. frontend_test.py failed first on both.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -40,8 +40,8 @@
     ``settled_s`` is when the VM last answered an order about it. ``wanted`` is false once its end
     no longer matters, such as after a cancellation. An ``evictable`` run may be stopped for more
     urgent work, and one that ``saves`` goes on from its last checkpoint then. A ``watched`` run
-    should show progress: ``percent`` of its work was done at ``moved_s``. A run of a former term has
-    no ``started_s``.
+    should show progress: ``percent`` of its work was done at ``moved_s``. A run of a former term
+    has no ``started_s``.
     """
 
     task: TaskName
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -5,18 +5,15 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log, log_routine
 from ..core.resource import NOTHING
-from ..core.timer import TimerService, guard
-from ..jobs.data import FINAL_STATES, Job, JobState, Progress
-from ..jobs.ledger import Change, JobAdded, JobCancelled, Ledger
+from ..core.timer import Timer, guard
+from ..jobs.data import FINAL_STATES, Job, JobState, Progress, StepKey
+from ..jobs.ledger import Change, JobAdded, JobCancelled
 from ..jobs.record import KeyedRecord, RecordKind, decode_progress, make_key
 from .commit import CommitQueue
-from .counsel import Counsel
 from .fleet import (
     Fleet,
     Run,
@@ -28,56 +25,36 @@
     release_run,
     reset_incarnation,
 )
-from .health import STALL_AVOID_S, HealthBook, is_slow, mark_slow, take_end
+from .health import STALL_AVOID_S, mark_slow, take_end
 from .interface import (
-    Configuration,
     EndedTask,
     EndReason,
-    KeyedLog,
     ListedVm,
     StartRefusal,
-    VmControl,
 )
 from .orders import OrderDesk
-from .planning import Placement, plan_starts
-from .rank import Allowance, count_surplus, rank_step
+from .rank import count_surplus
 from .settle import drop_runs, list_broken_gang, settle_end
+from .term import LeaderParts, TermState
+from .tick import run_ticks
 from .watch import Watch
 from .work import (
     JobWork,
     StepWork,
     add_run,
+    count_due,
     describe_run,
     get_booked_need,
-    is_step_ready,
-    open_due_occurrences,
     open_job,
 )
 
-TICK_GAP_S = 0.01
 SWEEP_S = 0.1
 # How long the state of an ended job can be asked for.
 KEEP_ENDED_S = 240.0
-MAX_DROPS_PER_SWEEP = 50
+DROP_S = 1.0
+MAX_DROPS_PER_TURN = 500
 # A step whose order was invalid is left alone for this long.
 INVALID_BACKOFF_S = 1.0
-# Nothing new is decided while the log has not answered for this long: it could not be carried out.
-MAX_RECORD_DELAY_S = 0.4
-
-
-@dataclass(slots=True)
-class LeaderParts:
-    """What a term works with."""
-
-    log: KeyedLog
-    vms: VmControl
-    counsel: Counsel
-    ledger: Ledger
-    timers: TimerService
-    get_configuration: Callable[[], Configuration]
-    get_listed: Callable[[], dict[str, ListedVm]]
-    on_lost: Callable[[str], None]
-    lease_s: float
 
 
 class Leader:
@@ -86,15 +63,10 @@
     def __init__(self, parts: LeaderParts, term: int, proved_s: float):
         self.parts = parts
         self.term = term
-        self.lost = False
         self.fleet = Fleet(term_began_s=get_elapsed_s(), lease_s=parts.lease_s)
-        self.works: dict[str, JobWork] = {}
         self.watches: dict[str, asyncio.Task] = {}
         self.looks: dict[str, Watch] = {}
-        self.broken_since: dict = {}
-        self.health = HealthBook()
-        self.allowances: dict[str, Allowance] = {}
-        self.wake = asyncio.Event()
+        self.broken_since: dict[StepKey, float] = {}
         self.commit = CommitQueue(parts.log, term, proved_s, self.lose)
         self.desk = OrderDesk(
             self.fleet,
@@ -105,8 +77,9 @@
             self.on_fenced,
             self._look,
         )
+        self.state = TermState(parts, term, self.fleet, self.commit, self.desk)
         self.tasks: list[asyncio.Task] = []
-        self.timer = None
+        self.timers: list[Timer] = []
 
     def start(self):
         """Takes over the open jobs and begins to decide."""
@@ -114,35 +87,36 @@
         jobs = sorted(self.parts.ledger.jobs.values(), key=lambda job: job.accepted_s)
         for job in jobs:
             self._take_over(job)
-        self.timer = self.parts.timers.subscribe(SWEEP_S, self._sweep)
+        subscribe = self.parts.timers.subscribe
+        self.timers = [subscribe(SWEEP_S, self._sweep), subscribe(DROP_S, self._drop_old_jobs)]
         self.tasks = [
             asyncio.create_task(guard(self.commit.run())),
-            asyncio.create_task(guard(self._run_ticks())),
+            asyncio.create_task(guard(run_ticks(self.state))),
         ]
         log(
             "leader:began",
             term=self.term,
-            jobs=len(self.works),
+            jobs=len(self.state.works),
             vms=len(self.fleet.rows),
             inherited=sum(len(row.runs) for row in self.fleet.rows.values()),
         )
-        self.wake.set()
+        self.state.wake.set()
 
     def lose(self, detail: str):
         """Ends the term; nothing is ordered any more."""
-        if self.lost:
+        if self.state.lost:
             return
-        self.lost = True
+        self.state.lost = True
         log("leader:lost", term=self.term, detail=detail)
         self.parts.on_lost(detail)
 
     def close(self):
         """Stops all activity of the term."""
-        self.lost = True
+        self.state.lost = True
         self.desk.close()
         self.parts.counsel.clear()
-        if self.timer is not None:
-            self.parts.timers.unsubscribe(self.timer)
+        for timer in self.timers:
+            self.parts.timers.unsubscribe(timer)
         for task in [*self.tasks, *self.watches.values()]:
             task.cancel()
 
@@ -161,8 +135,8 @@
     def _open(self, job: Job, progress: Progress) -> JobWork:
         work = open_job(job, progress)
         team = self.parts.get_configuration().teams.get(job.team)
-        work.surplus = count_surplus(self.allowances, team, job)
-        self.works[job.id] = work
+        work.surplus = count_surplus(self.state.allowances, team, job)
+        self.state.works[job.id] = work
         return work
 
     def _inherit_run(self, step: StepWork, record):
@@ -190,12 +164,12 @@
             work = self._open(change.job, Progress())
             if change.job.cancelled:
                 self._finish(work, JobState.CANCELLED)
-            self.wake.set()
+            self.state.wake.set()
         elif isinstance(change, JobCancelled):
-            work = self.works.get(change.job_id)
+            work = self.state.works.get(change.job_id)
             if work is not None:
                 self._finish(work, JobState.CANCELLED)
-                self.wake.set()
+                self.state.wake.set()
 
     def _finish(self, work: JobWork, state: JobState):
         work.state = state
@@ -206,7 +180,7 @@
     def _record(self, work: JobWork):
         self.commit.mark(work)
         if work.state in FINAL_STATES:
-            self.works.pop(work.job.id, None)
+            self.state.works.pop(work.job.id, None)
             log_routine("job:ended", job=work.job.id, state=work.state, team=work.job.team)
 
     # VMs.
@@ -214,7 +188,7 @@
     def on_listed(self):
         """Takes in that the registry has changed."""
         self._refresh_vms()
-        self.wake.set()
+        self.state.wake.set()
 
     def _refresh_vms(self):
         listed = self.parts.get_listed()
@@ -277,7 +251,7 @@
 
     def on_room(self):
         """Takes in that there may be room now."""
-        self.wake.set()
+        self.state.wake.set()
 
     async def wait_recorded(self, timeout_s: float) -> bool:
         """Returns whether everything decided before the call stands in the log in time."""
@@ -303,11 +277,11 @@
             reason=ended.reason,
             wanted=run.wanted,
         )
-        if take_end(self.health, row, run, ended.reason, get_elapsed_s()):
+        if take_end(self.state.health, row, run, ended.reason, get_elapsed_s()):
             log("vm:avoided", vm=row.name, failed_jobs=len(row.failed_jobs))
         if run.wanted:
             self._settle(run, ended.reason, ended.checkpoint)
-        self.wake.set()
+        self.state.wake.set()
 
     def on_gone(self, run: Run, detail: str):
         """Takes in that a run is certainly not there without a listed end."""
@@ -316,7 +290,7 @@
         log("task:gone", task=str(run.task), run=run.number, vm=run.vm.name, detail=detail)
         if run.wanted:
             self._settle(run, EndReason.LAPSED, "")
-        self.wake.set()
+        self.state.wake.set()
 
     def _settle(self, run: Run, reason: EndReason, checkpoint: str):
         step = self._find_step(run)
@@ -328,13 +302,13 @@
         self._record(step.work)
 
     def _find_step(self, run: Run) -> StepWork | None:
-        work = self.works.get(run.task.job)
+        work = self.state.works.get(run.task.job)
         return work and work.steps.get((run.task.occurrence, run.task.step))
 
     def on_stalled(self, run: Run):
         """Takes in that a run stands still: it goes on elsewhere, and its VM rests."""
         step = self._find_step(run)
-        if step is None or not run.wanted or len(step.active) < _count_due(step):
+        if step is None or not run.wanted or len(step.active) < count_due(step):
             return
         run.vm.avoid_until_s = get_elapsed_s() + STALL_AVOID_S
         log("vm:stalls", vm=run.vm.name, task=str(run.task), run=run.number, percent=run.percent)
@@ -349,114 +323,6 @@
                 step.work.ready_s = get_elapsed_s() + INVALID_BACKOFF_S
         self.on_gone(run, f"refused: {reason}")
 
-    # The tick.
-
-    async def _run_ticks(self):
-        while True:
-            await self.wake.wait()
-            self.wake.clear()
-            self._tick()
-            await asyncio.sleep(TICK_GAP_S)
-
-    def _tick(self):
-        now_s, wall_s = get_elapsed_s(), get_wall_s()
-        steps = []
-        for work in self.works.values():
-            if work.occurrences < max(1, work.job.spec.repeats):
-                open_due_occurrences(work, wall_s)
-            if now_s >= work.ready_s:
-                steps += [step for step in work.steps.values() if is_step_ready(step)]
-        if not steps or self.commit.get_delay_s() > MAX_RECORD_DELAY_S:
-            return
-        configuration = self.parts.get_configuration()
-        services = {name: queue.service for name, queue in configuration.queues.items()}
-        slow = {name for name in self.health.paces if is_slow(self.health, name, now_s)}
-        plan = plan_starts(steps, self.fleet, configuration.teams, services, now_s, wall_s, slow)
-        self._carry_out(plan.placements, now_s)
-        for run in plan.evictions:
-            log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
-            self.desk.stop(run)
-        for step in plan.advice_needed:
-            step.advice.pending = True
-            self.desk.spawn(guard(self._ask_advice(step, services)))
-
-    def _carry_out(self, placements: list[Placement], now_s: float):
-        numbers: dict = {}
-        for placement in placements:
-            step, row = placement.step, placement.vm
-            gang_number = numbers.get(step.key) if step.spec.gang else None
-            if gang_number is None:
-                step.part.last_run += 1
-                gang_number = numbers[step.key] = step.part.last_run
-            run = Run(
-                step.name_task(placement.index),
-                gang_number,
-                row,
-                step.work.job.team,
-                get_booked_need(step.spec),
-                ticket=placement.ticket,
-                ticket_until_s=_get_ticket_end(step),
-                started_s=now_s,
-                checkpoint=step.part.checkpoints.get(placement.index, ""),
-            )
-            book_run(self.fleet, run)
-            add_run(step, describe_run(step, run))
-            if step.work.state is JobState.QUEUED:
-                step.work.state = JobState.RUNNING
-            log_routine(
-                "task:placed",
-                task=str(run.task),
-                run=run.number,
-                vm=row.name,
-                waited_s=round(get_wall_s() - step.work.job.accepted_s, 3),
-                heard_s=round(now_s - row.heard_s, 3),
-            )
-            payload = step.work.job.spec.payload
-            self.commit.mark(step.work, lambda run=run, payload=payload: self._send(run, payload))
-
-    def _send(self, run: Run, payload: str):
-        if not self.lost:
-            self.desk.spawn(guard(self.desk.start(run, payload)))
-
-    async def _ask_advice(self, step: StepWork, services: dict[str, str]):
-        queue = step.work.job.queue
-        service = services.get(queue.name, queue.service)
-        advice = step.advice
-        names = [
-            row.name
-            for row in self.fleet.rows.values()
-            if row.listed.service == service
-            and row.in_registry
-            and (row.name in advice.allowed or row.name not in advice.asked)
-        ]
-        terms = queue.advice
-        expected_s = terms.decision_s + terms.per_vm_s * len(names)
-        key = step.key
-        started_s = get_elapsed_s()
-        answer = await self.parts.counsel.ask(
-            f"{key.job}.{key.occurrence}.{key.step}",
-            names,
-            expected_s,
-            rank_step(step, get_wall_s()),
-        )
-        advice.pending = False
-        if answer.tickets is None:
-            advice.retry_s = get_elapsed_s() + 0.1
-            log("advice:failed", step=f"{key.job}.{key.occurrence}.{key.step}", vms=len(names))
-        else:
-            advice.asked.update(names)
-            advice.allowed.update(answer.tickets)
-            advice.tickets = dict(answer.tickets)
-            advice.got_s = get_elapsed_s()
-            log_routine(
-                "advice:got",
-                step=f"{key.job}.{key.occurrence}.{key.step}",
-                vms=len(names),
-                allowed=len(answer.tickets),
-                took_s=round(advice.got_s - started_s, 3),
-            )
-        self.wake.set()
-
     # What has to be done now and then.
 
     def _sweep(self):
@@ -467,30 +333,21 @@
                 for run in list(row.runs.values()):
                     if run.phase is not RunPhase.RECORDING:
                         self.on_gone(run, "the lease has lapsed")
-        for work in self.works.values():
+        for work in self.state.works.values():
             for step in work.steps.values():
                 for run in list_broken_gang(step, now_s, self.broken_since):
                     self.desk.stop(run)
-        for name in mark_slow(self.health, now_s):
-            log("vm:slow", vm=name, slowness=round(self.health.paces[name].slowness, 2))
-        self._drop_old_jobs()
-        self.wake.set()
+        for name in mark_slow(self.state.health, now_s):
+            log("vm:slow", vm=name, slowness=round(self.state.health.paces[name].slowness, 2))
+        if self.broken_since:
+            works = self.state.works
+            self.broken_since = {k: at_s for k, at_s in self.broken_since.items() if k.job in works}
+        self.state.wake.set()
 
     def _drop_old_jobs(self):
         ledger, limit_s = self.parts.ledger, get_wall_s() - KEEP_ENDED_S
         old = [name for name, ended_s in ledger.ended_at_s.items() if ended_s < limit_s]
-        for name in old[:MAX_DROPS_PER_SWEEP]:
+        for name in old[:MAX_DROPS_PER_TURN]:
             for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
                 self.commit.add(KeyedRecord(make_key(kind, name), b""))
             ledger.ended_at_s.pop(name)
-
-
-def _count_due(step: StepWork) -> int:
-    """Returns how many tasks must run before one of them should show progress."""
-    return step.spec.count if step.spec.gang else 0
-
-
-def _get_ticket_end(step: StepWork) -> float:
-    """Returns until when the tickets of a step can be used."""
-    terms = step.work.job.queue.advice
-    return step.advice.got_s + terms.valid_s if terms is not None else float("inf")
--- /dev/null
+++ b/caroblead/dispatch/tick.py
@@ -0,0 +1,147 @@
+"""The tick of a term: plans what can start, records it, and sends it once it is recorded."""
+
+import asyncio
+
+from ..core.clock import get_elapsed_s, get_wall_s
+from ..core.logsink import log, log_routine
+from ..core.timer import guard
+from ..jobs.data import JobState, StepKey
+from .fleet import Run, book_run
+from .health import is_slow
+from .planning import Placement, plan_starts
+from .rank import rank_step
+from .term import TermState
+from .work import (
+    StepWork,
+    add_run,
+    describe_run,
+    get_booked_need,
+    is_step_ready,
+    open_due_occurrences,
+)
+
+TICK_GAP_S = 0.01
+# Nothing new is decided while the log has not answered for this long: it could not be carried out.
+MAX_RECORD_DELAY_S = 0.4
+# A question to the advice service that failed is put again after this long.
+ADVICE_RETRY_S = 0.1
+
+
+async def run_ticks(state: TermState):
+    """Runs a tick whenever something has changed, until it is cancelled."""
+    while True:
+        await state.wake.wait()
+        state.wake.clear()
+        run_tick(state)
+        await asyncio.sleep(TICK_GAP_S)
+
+
+def run_tick(state: TermState):
+    """Decides what can start now and has it recorded and carried out."""
+    now_s, wall_s = get_elapsed_s(), get_wall_s()
+    steps = []
+    for work in state.works.values():
+        if work.occurrences < max(1, work.job.spec.repeats):
+            open_due_occurrences(work, wall_s)
+        if now_s >= work.ready_s:
+            steps += [step for step in work.steps.values() if is_step_ready(step)]
+    if not steps or state.commit.get_delay_s() > MAX_RECORD_DELAY_S:
+        return
+    configuration = state.parts.get_configuration()
+    services = {name: queue.service for name, queue in configuration.queues.items()}
+    slow = {name for name in state.health.paces if is_slow(state.health, name, now_s)}
+    plan = plan_starts(steps, state.fleet, configuration.teams, services, now_s, wall_s, slow)
+    _carry_out(state, plan.placements, now_s)
+    for run in plan.evictions:
+        log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
+        state.desk.stop(run)
+    for step in plan.advice_needed:
+        step.advice.pending = True
+        state.desk.spawn(guard(_ask_advice(state, step, services)))
+
+
+def _carry_out(state: TermState, placements: list[Placement], now_s: float):
+    numbers: dict[StepKey, int] = {}
+    for placement in placements:
+        step, row = placement.step, placement.vm
+        # The members of a gang share one number.
+        number = numbers.get(step.key) if step.spec.gang else None
+        if number is None:
+            step.part.last_run += 1
+            number = numbers[step.key] = step.part.last_run
+        run = Run(
+            step.name_task(placement.index),
+            number,
+            row,
+            step.work.job.team,
+            get_booked_need(step.spec),
+            ticket=placement.ticket,
+            ticket_until_s=_get_ticket_end(step),
+            started_s=now_s,
+            checkpoint=step.part.checkpoints.get(placement.index, ""),
+        )
+        book_run(state.fleet, run)
+        add_run(step, describe_run(step, run))
+        if step.work.state is JobState.QUEUED:
+            step.work.state = JobState.RUNNING
+        log_routine(
+            "task:placed",
+            task=str(run.task),
+            run=run.number,
+            vm=row.name,
+            waited_s=round(get_wall_s() - step.work.job.accepted_s, 3),
+            heard_s=round(now_s - row.heard_s, 3),
+        )
+        payload = step.work.job.spec.payload
+        state.commit.mark(step.work, lambda run=run, payload=payload: _send(state, run, payload))
+
+
+def _send(state: TermState, run: Run, payload: str):
+    if not state.lost:
+        state.desk.spawn(guard(state.desk.start(run, payload)))
+
+
+async def _ask_advice(state: TermState, step: StepWork, services: dict[str, str]):
+    queue = step.work.job.queue
+    service = services.get(queue.name, queue.service)
+    advice = step.advice
+    names = [
+        row.name
+        for row in state.fleet.rows.values()
+        if row.listed.service == service
+        and row.in_registry
+        and (row.name in advice.allowed or row.name not in advice.asked)
+    ]
+    terms = queue.advice
+    expected_s = terms.decision_s + terms.per_vm_s * len(names)
+    key = step.key
+    started_s = get_elapsed_s()
+    answer = await state.parts.counsel.ask(
+        f"{key.job}.{key.occurrence}.{key.step}",
+        names,
+        expected_s,
+        rank_step(step, get_wall_s()),
+    )
+    advice.pending = False
+    if answer.tickets is None:
+        advice.retry_s = get_elapsed_s() + ADVICE_RETRY_S
+        log("advice:failed", step=f"{key.job}.{key.occurrence}.{key.step}", vms=len(names))
+    else:
+        advice.asked.update(names)
+        advice.allowed.update(answer.tickets)
+        advice.tickets = dict(answer.tickets)
+        advice.got_s = get_elapsed_s()
+        log_routine(
+            "advice:got",
+            step=f"{key.job}.{key.occurrence}.{key.step}",
+            vms=len(names),
+            allowed=len(answer.tickets),
+            took_s=round(advice.got_s - started_s, 3),
+        )
+    state.wake.set()
+
+
+def _get_ticket_end(step: StepWork) -> float:
+    """Returns until when the tickets of a step can be used."""
+    terms = step.work.job.queue.advice
+    return step.advice.got_s + terms.valid_s if terms is not None else float("inf")
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -138,6 +138,11 @@
     step.active.setdefault(run.task.index, []).append(run)
 
 
+def count_due(step: StepWork) -> int:
+    """Returns how many tasks must run before one of them should show progress."""
+    return step.spec.count if step.spec.gang else 0
+
+
 def describe_run(step: StepWork, run: Run) -> Run:
     """Gives a run what the choice of runs to stop needs to know."""
     spec = step.spec
--- a/caroblead/node/intake.py
+++ b/caroblead/node/intake.py
@@ -27,7 +27,7 @@
 # Knowledge of the log older than this proves nothing about a job that isn't in it.
 STALE_LEDGER_S = 2.5
 # A node that has heard nothing of the log for this long turns jobs away before it tries.
-LOG_LOST_S = 1.5
+LOG_LOST_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -8,7 +8,8 @@
 from ..core.timer import TimerService, guard
 from ..dispatch.counsel import Adviser, Counsel
 from ..dispatch.interface import Advisor, Batch, Configuration, KeyedLog, VmControl
-from ..dispatch.leader import Leader, LeaderParts
+from ..dispatch.leader import Leader
+from ..dispatch.term import LeaderParts
 from ..jobs.data import JobState
 from ..jobs.ledger import (
     LeaderHeard,
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -62,6 +62,8 @@
             response = await self._answer(request)
         except asyncio.CancelledError:
             raise
+        except web.HTTPException as error:
+            response = _write_error(error.status, error.reason)
         except Exception as error:
             log("call:failed", method=request.method, error=f"{type(error).__name__}: {error}")
             response = web.Response(status=500)
--- /dev/null
+++ b/caroblead/platform/frontend_test.py
@@ -0,0 +1,102 @@
+"""Callers' HTTP from end to end: a node behind its frontend, on stand-ins for the platform."""
+
+import orjson
+
+from ..core.resource import Resources
+from ..standin.cluster import KEY, play, start_site
+from .frontend import Frontend
+from .http import HttpClient
+
+JOB = "00000000000000a1"
+BODY = orjson.dumps({"spec": '{"seconds":0.2}', "steps": [{"count": 2, "cpu": 1000, "memMb": 100}]})
+HEADERS = {"Host": "x.example", "Authorization": f"Bearer {KEY}", "Deadline-Ms": "3000"}
+
+
+class Caller:
+    """Calls one frontend as a requester does."""
+
+    def __init__(self, http, frontend):
+        self.http = http
+        host, port = frontend.runners[0].addresses[0][:2]
+        self.base = f"http://{host}:{port}"
+
+    async def call(self, method, path, body=None, **headers):
+        merged = {name: value for name, value in {**HEADERS, **headers}.items() if value}
+        return await self.http.call(method, self.base + path, 3.0, body, merged)
+
+
+def with_frontend(scenario):
+    async def main():
+        site = await start_site()
+        node = site.nodes["n0"]
+        frontend = Frontend(node.intake, node.is_ready, node.metrics)
+        await frontend.start("127.0.0.1:0", "127.0.0.1:0")
+        http = HttpClient()
+        try:
+            await scenario(site, Caller(http, frontend))
+        finally:
+            await http.close()
+            await frontend.stop_listening()
+        return site
+
+    play(main)
+
+
+def test_job_is_accepted_shown_as_completed_and_not_run_again():
+    async def scenario(site, caller):
+        site.accepted[JOB] = _make_spec()
+        assert (await caller.call("POST", f"/c/{JOB}", BODY)).status == 200
+        states = []
+        for _ in range(10):
+            states.append((await caller.call("GET", f"/c/{JOB}")).decode()["state"])
+        assert states[-1] == "completed"
+        assert (await caller.call("POST", f"/c/{JOB}", BODY)).status == 200
+        assert (await caller.call("DELETE", f"/c/{JOB}")).status == 200
+        assert (await caller.call("GET", f"/c/{JOB}")).decode() == {"state": "completed"}
+        starts = [line for line in site.park.history if line.kind == "start"]
+        assert len(starts) == 2
+        assert (await caller.call("GET", "/c/")).decode() == {"waiting": 0}
+
+    with_frontend(scenario)
+
+
+def _make_spec():
+    from .jobs import decode_spec
+
+    return decode_spec(BODY)
+
+
+def test_calls_that_can_not_be_served_are_told_why_at_once():
+    async def scenario(site, caller):
+        post = caller.call
+        assert (await post("POST", f"/none/{JOB}", BODY)).status == 404
+        assert (await post("POST", f"/c/{JOB}", BODY, Host="y.example")).status == 404
+        assert (await post("POST", f"/c/{JOB}", BODY, Authorization="Bearer no")).status == 401
+        assert (await post("POST", f"/c/{JOB}", BODY, Authorization="")).status == 401
+        assert (await post("POST", f"/c/{JOB}", b"{}")).status == 400
+        assert (await post("POST", "/c/short", BODY)).status == 400
+        assert (await post("POST", f"/c/{JOB}", b"x" * 300_000)).status == 413
+        assert (await post("POST", f"/c/{JOB}", b"x" * 3_000_000)).status == 413
+        assert (await post("GET", f"/c/{JOB}")).status == 410
+        assert (await post("DELETE", f"/c/{JOB}")).status == 410
+        assert (await post("PUT", f"/c/{JOB}")).status == 405
+        assert site.park.history == []
+
+    with_frontend(scenario)
+
+
+def test_node_that_has_lost_the_store_says_so_and_is_not_ready():
+    async def scenario(site, caller):
+        assert (await caller.call("GET", "/api/readyz")).status == 200
+        site.troubles["n0"].silent = True
+        first = await caller.call("POST", f"/c/{JOB}", BODY)
+        assert first.status == 504
+        assert (await caller.call("POST", f"/c/{JOB[:-1]}2", BODY)).status == 503
+        assert (await caller.call("GET", "/api/readyz")).status == 503
+        later = "0" * 15 + "3"
+        for _ in range(6):
+            reply = await caller.call("POST", f"/c/{later}", BODY)
+        assert reply.status == 503
+        assert site.cap == Resources()
+
+    with_frontend(scenario)
--- a/caroblead/standin/keyedlog.py
+++ b/caroblead/standin/keyedlog.py
@@ -126,7 +126,7 @@
     async def _reach(self, timeout_s: float):
         if self.trouble.silent:
             await asyncio.sleep(timeout_s)
-            raise LogError("no answer", False)
+            raise LogError("no answer", True)
         await asyncio.sleep(ANSWER_S)
         if self.trouble.down:
             raise LogError("turned away", False)
