--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -44,7 +44,7 @@
 LEADER_REGISTRY_PAUSE_S = 0.25
 ANNOUNCE_TIMEOUT_S = 3.0
 # A node whose logs are older than this can't serve and tells the balancer so.
-READY_AGE_S = 1.6
+READY_AGE_S = 1.2
 # A planned stop: how long the balancer may take to notice, and what is left for open calls.
 NOTICE_PART = 0.4
 FINISH_PART = 0.75
