--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -56,3 +56,20 @@
     except ValueError as error:
         fault = Fault(Reason.BAD_INPUT, Step.READ_INPUT, path, f"not JSON: {error}")
     return Checked(None, [fault])
+
+
+# What may change while a node runs. All nodes must agree on the length of a lease, and addresses
+# are in use.
+CHANGEABLE = frozenset({"strict_keys", "revoke_ms", "grace_s"})
+
+
+def merge_settings(
+    old: NodeSettings, new: NodeSettings
+) -> tuple[NodeSettings, list[str], list[str]]:
+    """Returns the settings to go on with, the fields that changed, and those that need a restart."""
+    differing = [
+        name for name in NodeSettings.model_fields if getattr(old, name) != getattr(new, name)
+    ]
+    changed = [name for name in differing if name in CHANGEABLE]
+    kept = [name for name in differing if name not in CHANGEABLE]
+    return old.model_copy(update={name: getattr(new, name) for name in changed}), changed, kept
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -12,7 +12,7 @@
 from ..node.configuration import ConfigurationBook
 from ..node.program import Node, NodeAdapters
 from ..node.registry import Registry
-from ..node.setting import NodeSettings, load_node_settings
+from ..node.setting import NodeSettings, load_node_settings, merge_settings
 from . import configuration, registry
 from .advisor import PlatformAdvisor
 from .frontend import Frontend
@@ -95,10 +95,9 @@
         details = [f"{fault.field}: {fault.detail}" for fault in checked.faults]
         log("settings:rejected", faults=details)
         return
-    new, old = checked.value, node.settings
-    changed = [name for name in type(new).model_fields if getattr(new, name) != getattr(old, name)]
-    node.settings = node.intake.settings = new
-    log("settings:reloaded", changed=changed)
+    settings, changed, kept = merge_settings(node.settings, checked.value)
+    node.settings = node.intake.settings = settings
+    log("settings:reloaded", changed=changed, needs_restart=kept)
 
 
 def run():
--- a/caroblead/tools/inspection_test.py
+++ b/caroblead/tools/inspection_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ..node.setting import NodeSettings, merge_settings
 from .command import app
 from .inspection import EXIT_NO_EVIDENCE, EXIT_REFUSED, EXIT_USAGE
 
@@ -58,3 +59,11 @@
     path.write_text(json.dumps({**NODE, **change}))
     assert run("settings", "check", str(path)) == EXIT_USAGE
     assert field in capsys.readouterr().err
+
+
+def test_reload_takes_what_may_change_and_names_the_rest():
+    old = NodeSettings.model_validate(NODE)
+    new = NodeSettings.model_validate({**NODE, "grace_s": 9, "lease_s": 4, "peer_port": 7001})
+    settings, changed, kept = merge_settings(old, new)
+    assert (changed, sorted(kept)) == (["grace_s"], ["lease_s", "peer_port"])
+    assert (settings.grace_s, settings.lease_s) == (9, old.lease_s)
