--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -4,6 +4,7 @@
 """
 
 import json
+from dataclasses import dataclass
 from pathlib import Path
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -63,13 +64,20 @@
 CHANGEABLE = frozenset({"strict_keys", "revoke_ms", "grace_s"})
 
 
-def merge_settings(
-    old: NodeSettings, new: NodeSettings
-) -> tuple[NodeSettings, list[str], list[str]]:
-    """Returns the settings to go on with, the fields that changed, and those that need a restart."""
-    differing = [
-        name for name in NodeSettings.model_fields if getattr(old, name) != getattr(new, name)
-    ]
+@dataclass(slots=True, frozen=True)
+class MergedSettings:
+    """The settings to go on with, the fields that changed, and those that need a restart."""
+
+    settings: NodeSettings
+    changed: list[str]
+    needs_restart: list[str]
+
+
+def merge_settings(old: NodeSettings, new: NodeSettings) -> MergedSettings:
+    """Takes over from new settings what may change while a node runs."""
+    fields = NodeSettings.model_fields
+    differing = [name for name in fields if getattr(old, name) != getattr(new, name)]
     changed = [name for name in differing if name in CHANGEABLE]
     kept = [name for name in differing if name not in CHANGEABLE]
-    return old.model_copy(update={name: getattr(new, name) for name in changed}), changed, kept
+    update = {name: getattr(new, name) for name in changed}
+    return MergedSettings(old.model_copy(update=update), changed, kept)
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -95,9 +95,9 @@
         details = [f"{fault.field}: {fault.detail}" for fault in checked.faults]
         log("settings:rejected", faults=details)
         return
-    settings, changed, kept = merge_settings(node.settings, checked.value)
-    node.settings = node.intake.settings = settings
-    log("settings:reloaded", changed=changed, needs_restart=kept)
+    merged = merge_settings(node.settings, checked.value)
+    node.settings = node.intake.settings = merged.settings
+    log("settings:reloaded", changed=merged.changed, needs_restart=merged.needs_restart)
 
 
 def run():
--- a/caroblead/tools/inspection_test.py
+++ b/caroblead/tools/inspection_test.py
@@ -64,6 +64,7 @@
 def test_reload_takes_what_may_change_and_names_the_rest():
     old = NodeSettings.model_validate(NODE)
     new = NodeSettings.model_validate({**NODE, "grace_s": 9, "lease_s": 4, "peer_port": 7001})
-    settings, changed, kept = merge_settings(old, new)
-    assert (changed, sorted(kept)) == (["grace_s"], ["lease_s", "peer_port"])
-    assert (settings.grace_s, settings.lease_s) == (9, old.lease_s)
+    merged = merge_settings(old, new)
+    assert merged.changed == ["grace_s"]
+    assert sorted(merged.needs_restart) == ["lease_s", "peer_port"]
+    assert (merged.settings.grace_s, merged.settings.lease_s) == (9, old.lease_s)
