--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -329,7 +329,8 @@
         now_s = get_elapsed_s()
         for row in list(self.fleet.rows.values()):
             if row.runs and has_lapsed(self.fleet, row, now_s):
-                log("vm:lapsed", vm=row.name, runs=len(row.runs), heard_s=now_s - row.heard_s)
+                silent_s = round(now_s - (row.heard_s or self.fleet.term_began_s), 3)
+                log("vm:lapsed", vm=row.name, runs=len(row.runs), silent_s=silent_s)
                 for run in list(row.runs.values()):
                     if run.phase is not RunPhase.RECORDING:
                         self.on_gone(run, "the lease has lapsed")
