Let a wide gang's VMs empty: others avoid what is kept for it, and lateness doesn't void it

Urgent work of a higher rank filled VMs that were kept for the gang, since they were the tightest fit; a gang that became late lost what was kept. Also: questions named 176 VMs where the service takes 100, and the rest counted as asked; a question that found no node held up those behind it. Ruled out: tickets (never refused) and caps. Tests failed first, but for the order of questions.

--- a/caroblead/dispatch/counsel.py
+++ b/caroblead/dispatch/counsel.py
@@ -24,6 +24,8 @@
 LONG_S = 0.2
 # Long questions leave one node in so many to the short ones.
 NODES_PER_SHORT = 3
+# How many questions without a node are passed over in one turn.
+MAX_BLOCKED = 8
 
 Ask = Callable[[str, list[str], float], Awaitable[Advice]]
 
@@ -96,14 +98,22 @@
         self._pump()
 
     def _pump(self):
+        """Hands out what can be handed out; a question without a node doesn't hold up the next."""
+        blocked = []
         while self.waiting:
-            question = self.waiting[0][-1]
+            entry = heapq.heappop(self.waiting)
+            question = entry[-1]
+            if question.done.done():
+                continue
             adviser = self._choose(question)
             if adviser is None:
-                return
-            heapq.heappop(self.waiting)
-            if not question.done.done():
+                blocked.append(entry)
+                if len(blocked) >= MAX_BLOCKED:
+                    break
+            else:
                 self._call(adviser, question)
+        for entry in blocked:
+            heapq.heappush(self.waiting, entry)
 
     def _choose(self, question: Question) -> Adviser | None:
         """Returns a free node for a question, this one if it is free."""
--- /dev/null
+++ b/caroblead/dispatch/counsel_test.py
@@ -0,0 +1,80 @@
+"""Who asks the advice service, and in which order."""
+
+import asyncio
+
+from ..core.loop import run_in_virtual_time
+from .counsel import Adviser, Counsel
+from .interface import Advice
+
+
+def play(scenario):
+    async def main():
+        loop = asyncio.get_running_loop()
+        asked = []
+
+        def make_adviser(node, seconds=0.0, answers=True):
+            async def ask(step, vms, timeout_s):
+                asked.append((round(loop.time() - began_s, 2), node, step))
+                await asyncio.sleep(seconds or float(step.split("-")[1]))
+                return Advice({"v": "t"}) if answers else Advice(None)
+
+            return Adviser(node, ask)
+
+        began_s = loop.time()
+        await scenario(make_adviser, asked, loop)
+
+    run_in_virtual_time(main())
+
+
+def test_urgent_question_passes_those_that_can_wait():
+    async def scenario(make_adviser, asked, loop):
+        counsel = Counsel(make_adviser("own"), loop.time)
+        asks = [
+            counsel.ask(f"{name}-0.1", ["v"], 0.1, (rank,))
+            for name, rank in zip("abc", (1, 2, 0), strict=True)
+        ]
+        await asyncio.gather(*asks)
+        assert [step for _, _, step in asked] == ["a-0.1", "c-0.1", "b-0.1"]
+
+    play(scenario)
+
+
+def test_long_questions_leave_a_node_to_the_short_ones():
+    async def scenario(make_adviser, asked, loop):
+        counsel = Counsel(make_adviser("own"), loop.time)
+        for node in ("n1", "n2"):
+            counsel.put_adviser(make_adviser(node))
+        long = [asyncio.create_task(counsel.ask(f"l{n}-1", ["v"], 1.0, (0,))) for n in range(5)]
+        await asyncio.sleep(0.01)
+        assert len(asked) == 2
+        await counsel.ask("s-0.01", ["v"], 0.01, (9,))
+        assert asked[-1][0] <= 0.02
+        await asyncio.gather(*long)
+
+    play(scenario)
+
+
+def test_node_that_is_late_or_fails_is_replaced_and_rests():
+    async def scenario(make_adviser, asked, loop):
+        counsel = Counsel(make_adviser("own", seconds=30.0), loop.time)
+        counsel.put_adviser(make_adviser("bad", seconds=0.1, answers=False))
+        counsel.put_adviser(make_adviser("good"))
+        answer = await counsel.ask("s-0.05", ["v"], 0.05, (0,))
+        assert answer.tickets == {"v": "t"}
+        assert [node for _, node, _ in asked] == ["own", "bad", "good"] or asked[-1][1] == "good"
+        assert counsel.advisers["bad"].bad_until_s >= loop.time()
+
+    play(scenario)
+
+
+def test_question_that_found_no_node_does_not_hold_up_the_next():
+    async def scenario(make_adviser, asked, loop):
+        counsel = Counsel(make_adviser("own"), loop.time)
+        counsel.put_adviser(make_adviser("n1"))
+        counsel.put_adviser(make_adviser("n2"))
+        tasks = [asyncio.create_task(counsel.ask(f"l{n}-5", ["v"], 0.3, (0,))) for n in range(2)]
+        await asyncio.sleep(1.0)
+        await asyncio.wait_for(counsel.ask("s-0.05", ["v"], 0.05, (9,)), 8.0)
+        await asyncio.gather(*tasks)
+
+    play(scenario)
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -19,6 +19,8 @@
 # A VM off the rack of a task's data counts as so much worse a fit.
 FAR_PENALTY = 2.0
 SLOW_PENALTY = 10.0
+# More urgent work uses a VM that is kept for another step only where nothing else has room.
+RESERVED_PENALTY = 20.0
 # How long a VM is kept for a step that found no room, and by how much that is prolonged.
 RESERVE_S = 1.2
 KEEP_S = 0.5
@@ -98,7 +100,8 @@
     candidates = [row for row in candidates if _may_use(moment, row, step, rank)]
     chosen = _place_step(step, candidates, moment, team)
     if terms is not None and not _has_tickets(step, chosen, terms, moment.now_s):
-        ask = bool(chosen) or any(fits(step.spec.need, moment.free[row.name]) for row in unasked)
+        need = get_booked_need(step.spec)
+        ask = bool(chosen) or any(fits(need, moment.free[row.name]) for row in unasked)
         if ask and not step.advice.pending and moment.now_s >= step.advice.retry_s:
             moment.plan.advice_needed.append(step)
         if chosen and step.spec.gang:
@@ -145,7 +148,7 @@
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
     if any(held.step == step.key for held in moment.fleet.reservations.values()):
-        _keep_reservations(moment, step, rank)
+        _keep_reservations(moment, step)
         return
     chosen = None
     if rank[0] is Tier.IN_TIME:
@@ -160,12 +163,13 @@
         _reserve(moment, step, rank, choose_rows_to_empty(step, candidates, moment.free, missing))
 
 
-def _keep_reservations(moment: Moment, step: StepWork, rank: tuple):
-    for name, held in moment.fleet.reservations.items():
+def _keep_reservations(moment: Moment, step: StepWork):
+    """Prolongs what is kept for a gang, at the rank that it had: becoming late costs it nothing."""
+    for name, held in list(moment.fleet.reservations.items()):
         if held.step == step.key:
             until_s = max(held.until_s, moment.now_s + KEEP_S)
             if step.spec.gang:
-                moment.fleet.reservations[name] = Reservation(step.key, rank, until_s)
+                moment.fleet.reservations[name] = Reservation(step.key, held.rank, until_s)
 
 
 def _accept(moment: Moment, step: StepWork, chosen: list[tuple[int, VmRow]]):
@@ -241,6 +245,9 @@
         score = _score(step, row, free, need)
         if row.name in moment.slow:
             score += SLOW_PENALTY
+        held = moment.fleet.reservations.get(row.name)
+        if held is not None and held.step != step.key:
+            score += RESERVED_PENALTY
         slots.append((count, score, row))
     slots.sort(key=lambda slot: (slot[1], slot[2].name))
     return slots
--- a/caroblead/dispatch/rank_test.py
+++ b/caroblead/dispatch/rank_test.py
@@ -103,3 +103,31 @@
     assert choose_rows_to_empty(gang, [row], free, 5) == []
     (fits,) = make_steps(StepSpec(4, Resources(1000, 1), gang=True), queue=queue)
     assert len(choose_evictions(fits, [row], free, 4, NOW_S).runs) == 3
+
+
+def test_urgent_work_leaves_vms_kept_for_a_gang_alone_while_others_have_room():
+    fleet = make_fleet(3)
+    for row in fleet.rows.values():
+        run = add_running(fleet, row, 1, 1, False, NOW_S - 1)
+        run.evictable = False
+    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=5.0)
+    (gang,) = make_steps(StepSpec(8, Resources(1000, 1), 1.0, gang=True), queue=queue, name="g")
+    plan_starts([gang], fleet, {}, {}, NOW_S, 1.0)
+    kept = set(fleet.reservations)
+    (urgent,) = make_steps(StepSpec(3, Resources(1000, 1), 1.0), queue=URGENT, name="u")
+    plan = plan_starts([gang, urgent], fleet, {}, {}, NOW_S, 1.0)
+    assert not kept & {item.vm.name for item in plan.placements if item.step is urgent}
+
+
+def test_gang_that_has_become_late_keeps_its_vms_against_work_in_time():
+    fleet = make_fleet(2)
+    for row in fleet.rows.values():
+        run = add_running(fleet, row, 1, 1, False, NOW_S - 1)
+        run.evictable = False
+    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=1.0)
+    (gang,) = make_steps(StepSpec(8, Resources(1000, 1), 0.5, gang=True), queue=queue, name="g")
+    (small,) = make_steps(StepSpec(6, Resources(1000, 1), 9.0), queue=SLACK, name="s")
+    plan_starts([gang], fleet, {}, {}, NOW_S, 1.0)
+    assert set(fleet.reservations) == {"v0", "v1"}
+    late = plan_starts([gang, small], fleet, {}, {}, NOW_S + 0.5, 20.0)
+    assert late.placements == []
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -6,12 +6,13 @@
 from ..core.logsink import log, log_routine
 from ..core.timer import guard
 from ..jobs.data import JobState, StepKey
-from .fleet import Run, book_run
+from .fleet import Fleet, Run, book_run
 from .health import is_slow
 from .planning import Placement, plan_starts
 from .rank import rank_step
 from .term import TermState
 from .work import (
+    StepAdvice,
     StepWork,
     add_run,
     describe_run,
@@ -25,6 +26,8 @@
 MAX_RECORD_DELAY_S = 0.4
 # A question to the advice service that failed is put again after this long.
 ADVICE_RETRY_S = 0.1
+# The advice service takes so many VMs in one question.
+MAX_VMS_PER_QUESTION = 100
 
 
 async def run_ticks(state: TermState):
@@ -101,17 +104,24 @@
         state.desk.spawn(guard(state.desk.start(run, payload)))
 
 
-async def _ask_advice(state: TermState, step: StepWork, services: dict[str, str]):
-    queue = step.work.job.queue
-    service = services.get(queue.name, queue.service)
-    advice = step.advice
-    names = [
-        row.name
-        for row in state.fleet.rows.values()
+def choose_vms_to_ask(fleet: Fleet, service: str, advice: StepAdvice) -> list[str]:
+    """Returns the VMs to ask about: those known as allowed, then the roomiest not yet asked."""
+    rows = [
+        row
+        for row in fleet.rows.values()
         if row.listed.service == service
         and row.in_registry
         and (row.name in advice.allowed or row.name not in advice.asked)
     ]
+    rows.sort(key=lambda row: (row.name in advice.asked, row.free.millicores), reverse=True)
+    return [row.name for row in rows[:MAX_VMS_PER_QUESTION]]
+
+
+async def _ask_advice(state: TermState, step: StepWork, services: dict[str, str]):
+    queue = step.work.job.queue
+    service = services.get(queue.name, queue.service)
+    advice = step.advice
+    names = choose_vms_to_ask(state.fleet, service, advice)
     terms = queue.advice
     expected_s = terms.decision_s + terms.per_vm_s * len(names)
     key = step.key
--- a/caroblead/platform/advisor.py
+++ b/caroblead/platform/advisor.py
@@ -3,8 +3,6 @@
 from ..dispatch.interface import Advice
 from .http import CallFailedError, HttpClient
 
-MAX_VMS_PER_CALL = 100
-
 
 class PlatformAdvisor:
     """Asks the advice service, which serves one call of a node at a time."""
@@ -15,7 +13,7 @@
 
     async def ask(self, step: str, vms: list[str], timeout_s: float) -> Advice:
         """Asks about a step by its name."""
-        message = {"stepId": step, "workers": vms[:MAX_VMS_PER_CALL]}
+        message = {"stepId": step, "workers": vms}
         try:
             reply = await self.http.post(self.url, message, timeout_s)
             if reply.status != 200:
