--- a/caroblead/dispatch/counsel_test.py
+++ b/caroblead/dispatch/counsel_test.py
@@ -69,12 +69,14 @@
 
 def test_question_that_found_no_node_does_not_hold_up_the_next():
     async def scenario(make_adviser, asked, loop):
-        counsel = Counsel(make_adviser("own"), loop.time)
-        counsel.put_adviser(make_adviser("n1"))
-        counsel.put_adviser(make_adviser("n2"))
-        tasks = [asyncio.create_task(counsel.ask(f"l{n}-5", ["v"], 0.3, (0,))) for n in range(2)]
-        await asyncio.sleep(1.0)
-        await asyncio.wait_for(counsel.ask("s-0.05", ["v"], 0.05, (9,)), 8.0)
-        await asyncio.gather(*tasks)
+        counsel = Counsel(make_adviser("own", seconds=30.0), loop.time)
+        failing = make_adviser("n1", seconds=0.1, answers=False)
+        counsel.put_adviser(failing)
+        stuck = asyncio.create_task(counsel.ask("s-0.05", ["v"], 0.05, (0,)))
+        await asyncio.sleep(0.5)
+        failing.ask = make_adviser("n1").ask
+        await asyncio.sleep(1.5)
+        await asyncio.wait_for(counsel.ask("t-0.05", ["v"], 0.05, (9,)), 1.0)
+        stuck.cancel()
 
     play(scenario)
--- a/caroblead/dispatch/rank_test.py
+++ b/caroblead/dispatch/rank_test.py
@@ -105,29 +105,35 @@
     assert len(choose_evictions(fits, [row], free, 4, NOW_S).runs) == 3
 
 
-def test_urgent_work_leaves_vms_kept_for_a_gang_alone_while_others_have_room():
-    fleet = make_fleet(3)
+def make_blocked_gang(fleet, latency_s):
+    """Returns a gang of six that needs three of the VMs empty, where each has room for one."""
     for row in fleet.rows.values():
         run = add_running(fleet, row, 1, 1, False, NOW_S - 1)
         run.evictable = False
-    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=5.0)
-    (gang,) = make_steps(StepSpec(8, Resources(1000, 1), 1.0, gang=True), queue=queue, name="g")
+    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=latency_s)
+    spec = StepSpec(6, Resources(2000, 1), 0.5, gang=True)
+    (gang,) = make_steps(spec, queue=queue, name="g")
+    return gang
+
+
+def test_urgent_work_leaves_vms_kept_for_a_gang_alone_while_others_have_room():
+    fleet = make_fleet(4)
+    gang = make_blocked_gang(fleet, 5.0)
     plan_starts([gang], fleet, {}, {}, NOW_S, 1.0)
     kept = set(fleet.reservations)
+    assert len(kept) == 3
     (urgent,) = make_steps(StepSpec(3, Resources(1000, 1), 1.0), queue=URGENT, name="u")
     plan = plan_starts([gang, urgent], fleet, {}, {}, NOW_S, 1.0)
-    assert not kept & {item.vm.name for item in plan.placements if item.step is urgent}
+    assert len(plan.placements) == 3
+    assert not kept & {item.vm.name for item in plan.placements}
 
 
 def test_gang_that_has_become_late_keeps_its_vms_against_work_in_time():
-    fleet = make_fleet(2)
-    for row in fleet.rows.values():
-        run = add_running(fleet, row, 1, 1, False, NOW_S - 1)
-        run.evictable = False
-    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=1.0)
-    (gang,) = make_steps(StepSpec(8, Resources(1000, 1), 0.5, gang=True), queue=queue, name="g")
+    fleet = make_fleet(3)
+    gang = make_blocked_gang(fleet, 1.0)
     (small,) = make_steps(StepSpec(6, Resources(1000, 1), 9.0), queue=SLACK, name="s")
     plan_starts([gang], fleet, {}, {}, NOW_S, 1.0)
-    assert set(fleet.reservations) == {"v0", "v1"}
-    late = plan_starts([gang, small], fleet, {}, {}, NOW_S + 0.5, 20.0)
-    assert late.placements == []
+    assert len(fleet.reservations) == 3
+    for tick in range(1, 4):
+        plan = plan_starts([gang, small], fleet, {}, {}, NOW_S + tick / 10, 20.0)
+        assert plan.placements == []
