--- a/caroblead/placer/program.py
+++ b/caroblead/placer/program.py
@@ -32,13 +32,12 @@
     describe_job,
     drop_late_jobs,
     flush_ends,
-    follow_book,
-    restore_jobs,
     submit_job,
 )
 from .lease import Holder
 from .ownership import apply_list, check_leases, hand_over, kick_lease, reset_shard, try_acquire
 from .request import count_in_flight, expire_requests, run_request, wake
+from .restore import follow_book, restore_jobs
 from .shard import Shard, Surroundings
 
 BEAT_S = 0.25
