--- /dev/null
+++ b/caroblead/core/metric.py
@@ -0,0 +1,42 @@
+"""Histograms of times and the text format in which a process serves its numbers."""
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+def record_seconds(histograms: dict[str, HdrHistogram], name: str, seconds: float):
+    """Takes a length of time into the histogram of that name, which is made when it is new."""
+    histogram = histograms.get(name)
+    if histogram is None:
+        histogram = histograms[name] = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+    histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
+
+
+def write_summary(metric: str, label: str, histograms: dict[str, HdrHistogram]) -> list[str]:
+    """Returns the quantiles of each histogram in seconds, a line a sample.
+
+    For example ``write_summary("span_seconds", "span", spans)`` gives lines such as
+    ``caroblead_span_seconds{span="call_get",quantile="0.99"} 0.004128``.
+    """
+    lines = [f"# TYPE caroblead_{metric} summary"]
+    for name, histogram in sorted(histograms.items()):
+        for quantile in QUANTILES:
+            seconds = histogram.get_value_at_percentile(quantile) / 1e6
+            labels = f'{label}="{name}",quantile="{quantile / 100:g}"'
+            lines.append(f"caroblead_{metric}{{{labels}}} {seconds:.6f}")
+        total = histogram.get_total_count()
+        lines.append(f'caroblead_{metric}_count{{{label}="{name}"}} {total}')
+    return lines
+
+
+def write_gauges(gauges: dict[str, float]) -> list[str]:
+    """Returns the present value of each gauge, a line a sample."""
+    lines = []
+    for name, value in sorted(gauges.items()):
+        lines.append(f"# TYPE caroblead_{name} gauge")
+        lines.append(f"caroblead_{name} {value:g}")
+    return lines
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -89,7 +89,6 @@
     seen: int = 0
     strangers: int = 0
     avoid_until_s: float = 0.0
-    failures: int = 0
     reset_s: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
 
@@ -208,5 +207,4 @@
     row.clock_at_s = row.heard_s = 0.0
     row.answered = False
     row.reset_s = now_s
-    row.failures = 0
     row.failed_jobs.clear()
--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from ..core.resource import Resources
-from ..fleet.interface import LogError
 from ..jobs.data import JobQueue
 from ..jobs.record import KeyedRecord
 
@@ -50,18 +49,18 @@
     ) -> int:
         """Appends all records or none and returns the offset of the first.
 
-        Raises :class:`LogError`, whose ``sent`` tells whether they may be there all the same, and
+        Raises ``LogError``, whose ``sent`` tells whether they may be there all the same, and
         :class:`FencedError`.
         """
 
     async def read(self, offset: int, wait_s: float) -> Batch:
         """Returns the records from an offset on, waiting for the first one at most ``wait_s``.
 
-        Raises :class:`LogError` and :class:`HistoryGoneError`.
+        Raises ``LogError`` and :class:`HistoryGoneError`.
         """
 
     async def read_newest(self) -> Batch:
-        """Returns the newest record of every key, oldest first, or raises :class:`LogError`."""
+        """Returns the newest record of every key, oldest first, or raises ``LogError``."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -246,6 +245,3 @@
     teams: dict[str, TeamLimits] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=dict)
     max_body_bytes: int = 262_144
-
-
-__all__ = ["LogError"]
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -68,15 +68,7 @@
         self.looks: dict[str, Watch] = {}
         self.broken_since: dict[StepKey, float] = {}
         self.commit = CommitQueue(parts.log, term, proved_s, self.lose)
-        self.desk = OrderDesk(
-            self.fleet,
-            parts.vms,
-            term,
-            lambda: self.commit.proved_s,
-            self._take_refusal,
-            self.on_fenced,
-            self._look,
-        )
+        self.desk = OrderDesk(self.fleet, parts.vms, term, self)
         self.state = TermState(parts, term, self.fleet, self.commit, self.desk)
         self.tasks: list[asyncio.Task] = []
         self.timers: list[Timer] = []
@@ -205,19 +197,12 @@
                 self._watch(row)
 
     def _watch(self, row: VmRow):
-        watch = Watch(
-            self.fleet,
-            row,
-            self.parts.vms,
-            self.term,
-            lambda: self.commit.proved_s,
-            self.desk,
-            self,
-        )
+        watch = Watch(self.fleet, row, self.parts.vms, self.term, self.desk, self)
         self.looks[row.name] = watch
         self.watches[row.name] = asyncio.create_task(guard(watch.run()))
 
-    async def _look(self, row: VmRow):
+    async def look_at(self, row: VmRow):
+        """Has a VM's lists read at once, beside the renewal that may be waiting there."""
         watch = self.looks.get(row.name)
         if watch is not None and row.answered:
             await watch.look()
@@ -253,6 +238,10 @@
         """Takes in that there may be room now."""
         self.state.wake.set()
 
+    def get_proof_s(self) -> float:
+        """Returns the time at which the last acknowledged append of this term was sent."""
+        return self.commit.proved_s
+
     async def wait_recorded(self, timeout_s: float) -> bool:
         """Returns whether everything decided before the call stands in the log in time."""
         try:
@@ -314,7 +303,8 @@
         log("vm:stalls", vm=run.vm.name, task=str(run.task), run=run.number, percent=run.percent)
         self.desk.stop(run)
 
-    def _take_refusal(self, run: Run, reason: StartRefusal):
+    def on_refused(self, run: Run, reason: StartRefusal):
+        """Takes in that a VM did not start a run and won't."""
         step = self._find_step(run)
         if step is not None:
             if reason is StartRefusal.NO_TICKET:
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -1,13 +1,13 @@
 """Sends the orders of the leader to VMs and takes in their answers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
 from ..core.timer import guard
-from .fleet import Fleet, Run, RunPhase, VmRow, grant_deadline
+from .fleet import Fleet, Run, RunPhase, grant_deadline
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, VmControl
+from .report import Reports
 
 STOP_RETRY_S = 0.1
 # How long a VM gets no new work after it refused a start for a reason of its own.
@@ -23,18 +23,12 @@
         fleet: Fleet,
         vms: VmControl,
         term: int,
-        get_proof: Callable[[], float],
-        on_refused: Callable[[Run, StartRefusal], None],
-        on_fenced: Callable[[str], None],
-        look: Callable[[VmRow], Awaitable[None]],
+        reports: Reports,
     ):
         self.fleet = fleet
         self.vms = vms
         self.term = term
-        self.get_proof = get_proof
-        self.on_refused = on_refused
-        self.on_fenced = on_fenced
-        self.look = look
+        self.reports = reports
         self.tasks: set[asyncio.Task] = set()
         self.refusals: dict[str, int] = {}
 
@@ -50,14 +44,14 @@
         if not run.wanted or (run.task, run.number) not in row.runs:
             return
         if get_elapsed_s() >= run.ticket_until_s:
-            self.on_refused(run, StartRefusal.NO_TICKET)
+            self.reports.on_refused(run, StartRefusal.NO_TICKET)
             return
         run.phase = RunPhase.ORDERED
         order = StartOrder(
             run.task,
             run.number,
             payload,
-            grant_deadline(self.fleet, row, self.get_proof()),
+            grant_deadline(self.fleet, row, self.reports.get_proof_s()),
             self.term,
             run.checkpoint,
             run.ticket,
@@ -82,12 +76,12 @@
             self.refusals[outcome.reason] = self.refusals.get(outcome.reason, 0) + 1
             if outcome.reason is StartRefusal.FENCED:
                 run.phase = RunPhase.UNSURE
-                self.on_fenced(row.name)
+                self.reports.on_fenced(row.name)
                 return
             if outcome.reason not in (StartRefusal.NO_TICKET, StartRefusal.SUPERSEDED):
                 avoid_s = AVOID_S.get(outcome.reason, DEFAULT_AVOID_S)
                 row.avoid_until_s = run.settled_s + avoid_s
-            self.on_refused(run, outcome.reason)
+            self.reports.on_refused(run, outcome.reason)
         else:
             run.phase = RunPhase.UNSURE
             run.unanswered = True
@@ -99,7 +93,7 @@
                 detail=outcome.detail,
             )
             # The lists tell whether it runs; if it doesn't, it is kept from starting late.
-            self.spawn(guard(self.look(row)))
+            self.spawn(guard(self.reports.look_at(row)))
 
     def stop(self, run: Run):
         """Stops a run, asking again until the VM has answered or the run is gone."""
@@ -116,10 +110,10 @@
                 run.settled_s = get_elapsed_s()
                 log_routine("task:stopped", task=str(run.task), run=run.number, vm=row.name)
                 if run.unanswered:
-                    await self.look(row)
+                    await self.reports.look_at(row)
                 return
             if isinstance(outcome, Refused) and outcome.reason is StartRefusal.FENCED:
-                self.on_fenced(row.name)
+                self.reports.on_fenced(row.name)
                 return
             if isinstance(outcome, NoAnswer):
                 log(
--- a/caroblead/dispatch/settle.py
+++ b/caroblead/dispatch/settle.py
@@ -18,15 +18,14 @@
 
 @dataclass(slots=True)
 class Settlement:
-    """What has to be done after an end: runs to stop, and whether there is something to record."""
+    """What has to be done after an end: the runs to stop."""
 
-    changed: bool = False
     to_stop: list[Run] = field(default_factory=list)
 
 
 def settle_end(step: StepWork, run: Run, reason: EndReason, checkpoint: str) -> Settlement:
     """Takes in how a run ended that was still wanted; its room is given back by the caller."""
-    settlement = Settlement(changed=True)
+    settlement = Settlement()
     work = step.work
     index = run.task.index
     saved = checkpoint or run.checkpoint
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -124,10 +124,9 @@
     names = choose_vms_to_ask(state.fleet, service, advice)
     terms = queue.advice
     expected_s = terms.decision_s + terms.per_vm_s * len(names)
-    key = step.key
     started_s = get_elapsed_s()
     answer = await state.parts.counsel.ask(
-        f"{key.job}.{key.occurrence}.{key.step}",
+        str(step.key),
         names,
         expected_s,
         rank_step(step, get_wall_s()),
@@ -135,7 +134,7 @@
     advice.pending = False
     if answer.tickets is None:
         advice.retry_s = get_elapsed_s() + ADVICE_RETRY_S
-        log("advice:failed", step=f"{key.job}.{key.occurrence}.{key.step}", vms=len(names))
+        log("advice:failed", step=str(step.key), vms=len(names))
     else:
         advice.asked.update(names)
         advice.allowed.update(answer.tickets)
@@ -143,7 +142,7 @@
         advice.got_s = get_elapsed_s()
         log_routine(
             "advice:got",
-            step=f"{key.job}.{key.occurrence}.{key.step}",
+            step=str(step.key),
             vms=len(names),
             allowed=len(answer.tickets),
             took_s=round(advice.got_s - started_s, 3),
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -1,7 +1,6 @@
 """Keeps the lease of each VM and compares what it lists with what the leader believes."""
 
 import asyncio
-from collections.abc import Callable
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
@@ -16,6 +15,8 @@
 )
 from .health import take_progress
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
+from .orders import OrderDesk
+from .report import Reports
 
 # A renewal waits this long for an end before it comes back by itself.
 WAIT_S = 0.7
@@ -38,17 +39,15 @@
         row: VmRow,
         vms: VmControl,
         term: int,
-        get_proof: Callable[[], float],
-        desk,
-        events,
+        desk: OrderDesk,
+        reports: Reports,
     ):
         self.fleet = fleet
         self.row = row
         self.vms = vms
         self.term = term
-        self.get_proof = get_proof
         self.desk = desk
-        self.events = events
+        self.reports = reports
         self.looks = 0
         self.silent = False
 
@@ -75,7 +74,7 @@
         known = row.clock_at_s > 0 and row.answered
         deadline = None
         if known and get_elapsed_s() - row.heard_s < GRANT_WHILE_HEARD_S:
-            deadline = grant_deadline(self.fleet, row, self.get_proof())
+            deadline = grant_deadline(self.fleet, row, self.reports.get_proof_s())
         self.looks += 1
         wait_s = WAIT_S if known and wait else 0.0
         return await self.vms.hold(row.make_target(), self.term, row.seen, deadline, wait_s)
@@ -87,7 +86,7 @@
             detail = answer.reason if isinstance(answer, Refused) else answer.detail
             log("vm:lost", vm=row.name, detail=detail, runs=len(row.runs))
         if isinstance(answer, Refused) and answer.reason is StartRefusal.FENCED:
-            self.events.on_fenced(row.name)
+            self.reports.on_fenced(row.name)
 
     async def _take_lists(self, answer: HoldAnswer, sent_s: float):
         row = self.row
@@ -95,7 +94,7 @@
             self.silent = False
             log("vm:back", vm=row.name, silent_s=get_elapsed_s() - row.heard_s)
         if answer.incarnation != row.incarnation:
-            self.events.on_reborn(row, answer.incarnation)
+            self.reports.on_reborn(row, answer.incarnation)
         first = not row.answered
         if first:
             observe_first_answer(self.fleet, row, answer.clock_ms, get_elapsed_s())
@@ -104,12 +103,12 @@
         seen = row.seen
         for ended in answer.ended:
             seen = max(seen, ended.serial)
-            self.events.on_end(row, ended)
+            self.reports.on_end(row, ended)
         self._compare(answer, sent_s)
         if first:
-            self.events.on_room()
+            self.reports.on_room()
         if seen > row.seen:
-            if await self.events.wait_recorded(UNRECORDED_LOOK_S):
+            if await self.reports.wait_recorded(UNRECORDED_LOOK_S):
                 row.seen = max(row.seen, seen)
                 await asyncio.sleep(GATHER_S)
 
@@ -129,7 +128,7 @@
 
     def _take_running(self, run: Run, item):
         if take_progress(run, item, get_elapsed_s()):
-            self.events.on_stalled(run)
+            self.reports.on_stalled(run)
         if item.checkpoint:
             run.checkpoint = item.checkpoint
         if run.phase in (RunPhase.UNSURE, RunPhase.INHERITED):
@@ -141,10 +140,10 @@
     def _take_absent(self, run: Run, sent_s: float):
         if run.phase is RunPhase.INHERITED:
             # The VM has seen this term, so the order of a former one can't take effect any more.
-            self.events.on_gone(run, "never started")
+            self.reports.on_gone(run, "never started")
         elif run.phase is RunPhase.UNSURE:
             self.desk.stop(run)
         elif run.phase is RunPhase.RUNNING and run.settled_s < sent_s:
-            self.events.on_gone(run, "not listed")
+            self.reports.on_gone(run, "not listed")
         elif run.phase is RunPhase.STOPPING and run.settled_s < sent_s:
-            self.events.on_gone(run, "stopped before it started")
+            self.reports.on_gone(run, "stopped before it started")
--- a/caroblead/gate/access.py
+++ b/caroblead/gate/access.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import secrets
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -11,9 +10,7 @@
 from ..core.data import Queue, takes_jobs, takes_requests
 from ..core.outcome import Fault, Reason, Step
 from .message import HTTP_STATUS, UNAVAILABLE, describe_fault, make_retry
-
-if TYPE_CHECKING:
-    from .program import Gate
+from .process import GateProcess
 
 # How long a fresh gate waits for its first configuration before it refuses.
 FIRST_CONFIG_S = 2.0
@@ -27,7 +24,7 @@
         self.faults = faults
 
 
-def refuse(gate: "Gate", faults) -> web.Response:
+def refuse(gate: GateProcess, faults) -> web.Response:
     """Returns the answer to a call that is refused, with every fault."""
     first = faults[0]
     shown = {"outcome": "not_run", "error": describe_fault(first)}
@@ -37,12 +34,14 @@
     return web.json_response(shown, status=status, headers=make_retry(first.retry_after_s))
 
 
-def make_fault(gate: "Gate", reason: Reason, step: Step, detail: str, field: str = "") -> Fault:
+def make_fault(
+    gate: GateProcess, reason: Reason, step: Step, detail: str, field: str = ""
+) -> Fault:
     """Returns a fault that arose in this gate."""
     return Fault(reason, step, gate.settings.node, detail, field)
 
 
-def read_key(gate: "Gate", request: web.Request) -> str:
+def read_key(gate: GateProcess, request: web.Request) -> str:
     """Returns the digest of the bearer key, or nothing when none came."""
     scheme, _, key = request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key:
@@ -50,7 +49,7 @@
     return hashlib.sha256(key.strip().encode()).hexdigest()
 
 
-def check_key(gate: "Gate", digest: str) -> str:
+def check_key(gate: GateProcess, digest: str) -> str:
     """Returns the team of a key, or refuses."""
     if not digest:
         raise RefusalError(make_fault(gate, Reason.NO_KEY, Step.CHECK_KEY, "no bearer key came"))
@@ -60,7 +59,7 @@
     return team
 
 
-async def find_queue(gate: "Gate", request: web.Request, for_requests: bool) -> Queue:
+async def find_queue(gate: GateProcess, request: web.Request, for_requests: bool) -> Queue:
     """Returns the queue that a call names, or refuses."""
     await wait_for_config(gate)
     name = request.match_info["queue"]
@@ -73,7 +72,7 @@
     return queue
 
 
-async def wait_for_config(gate: "Gate"):
+async def wait_for_config(gate: GateProcess):
     """Gives a fresh process a moment to learn the configuration before it refuses."""
     end_s = gate.timers.get_time() + FIRST_CONFIG_S
     while gate.follower.state.number == 0:
@@ -86,7 +85,7 @@
     await gate.follower.ensure_fresh()
 
 
-def find_team(gate: "Gate", queue: Queue, digest: str) -> tuple[str, bool]:
+def find_team(gate: GateProcess, queue: Queue, digest: str) -> tuple[str, bool]:
     """Returns the team that work on a queue is for, and whether the queue is open."""
     if queue.open_team and not digest:
         return queue.open_team, True
@@ -99,7 +98,7 @@
     raise RefusalError(make_fault(gate, Reason.FORBIDDEN, Step.CHECK_KEY, detail))
 
 
-def check_operator(gate: "Gate", request: web.Request):
+def check_operator(gate: GateProcess, request: web.Request):
     """Refuses a call that did not come with the operator's key."""
     wanted = gate.site.platform.operator_key_digest
     digest = read_key(gate, request)
--- a/caroblead/gate/operation.py
+++ b/caroblead/gate/operation.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -16,13 +15,11 @@
 from .access import RefusalError, check_operator
 from .message import describe_fault
 from .metric import write_metrics
+from .process import GateProcess
 from .work import KEY_SHOWN
 
-if TYPE_CHECKING:
-    from .program import Gate
 
-
-async def _read_new_ticket(gate: "Gate", request: web.Request) -> Ticket:
+async def _read_new_ticket(gate: GateProcess, request: web.Request) -> Ticket:
     """Returns the ticket that an operator sent, or refuses with every error of form."""
     check_operator(gate, request)
     parsed = parse_ticket(await request.read())
@@ -31,7 +28,7 @@
     return parsed.value
 
 
-async def check_new_ticket(gate: "Gate", request: web.Request):
+async def check_new_ticket(gate: GateProcess, request: web.Request):
     """Answers whether a ticket could be published now."""
     ticket = await _read_new_ticket(gate, request)
     await gate.follower.poll()
@@ -41,7 +38,7 @@
     return web.json_response({"outcome": "valid", "ticket": ticket.ticket})
 
 
-async def publish_ticket(gate: "Gate", request: web.Request):
+async def publish_ticket(gate: GateProcess, request: web.Request):
     """Publishes a ticket and tells every process of it."""
     ticket = await _read_new_ticket(gate, request)
     faults = await gate.follower.publish(ticket)
@@ -55,13 +52,13 @@
     return web.json_response({"outcome": "accepted", "ticket": ticket.ticket})
 
 
-async def show_config(gate: "Gate", request: web.Request):
+async def show_config(gate: GateProcess, request: web.Request):
     """Answers with the configuration in force."""
     check_operator(gate, request)
     return web.json_response(describe_config(gate.follower.state))
 
 
-async def show_status(gate: "Gate", request: web.Request):
+async def show_status(gate: GateProcess, request: web.Request):
     """Answers with what this gate knows of all entry VMs."""
     now_s = gate.timers.get_time()
     nodes = [
@@ -93,7 +90,7 @@
     return web.json_response(shown)
 
 
-async def show_metrics(gate: "Gate", request: web.Request):
+async def show_metrics(gate: GateProcess, request: web.Request):
     """Answers with the numbers of this process as text."""
     gauges = {
         "requests_in_flight": gate.in_flight,
@@ -104,7 +101,7 @@
     return web.Response(text=write_metrics(gate.metrics, gauges))
 
 
-async def order_drain(gate: "Gate", request: web.Request):
+async def order_drain(gate: GateProcess, request: web.Request):
     """Begins the planned stop of this entry VM."""
     check_operator(gate, request)
     member = gate.members.table[gate.settings.node]
--- a/caroblead/gate/work.py
+++ b/caroblead/gate/work.py
@@ -5,7 +5,6 @@
 import json
 import math
 import secrets
-from typing import TYPE_CHECKING
 
 import eliot
 from aiohttp import web
@@ -34,17 +33,15 @@
     name_outcome,
     parse_body,
 )
+from .process import GateProcess
 from .route import RequestCall
 
-if TYPE_CHECKING:
-    from .program import Gate
-
 # So many digits of a key's digest name it in the time line.
 KEY_SHOWN = 12
 CALL_TIMEOUT_S = 3.0
 
 
-async def take_request(gate: "Gate", request: web.Request):
+async def take_request(gate: GateProcess, request: web.Request):
     """Takes a request, sees it through to its outcome and answers it."""
     arrived_s = gate.timers.get_time()
     gate.in_flight += 1
@@ -62,7 +59,7 @@
         gate.in_flight -= 1
 
 
-def _accept_request(gate: "Gate", queue: Queue, body: RequestBody, digest: str) -> RequestCall:
+def _accept_request(gate: GateProcess, queue: Queue, body: RequestBody, digest: str) -> RequestCall:
     """Accepts a request for a team, once its key allows it."""
     team, is_open = find_team(gate, queue, digest)
     gate.sequence += 1
@@ -92,7 +89,7 @@
     return call
 
 
-def _answer(gate: "Gate", queue: Queue, request: str, outcome: Outcome, arrived_s: float):
+def _answer(gate: GateProcess, queue: Queue, request: str, outcome: Outcome, arrived_s: float):
     """Returns the answer with a request's outcome."""
     status, shown, retry_s = describe_outcome(request, outcome)
     reason = "" if isinstance(outcome, Answered) else str(outcome.fault.reason)
@@ -103,7 +100,7 @@
     return web.json_response(shown, status=status, headers=make_retry(retry_s))
 
 
-async def take_job(gate: "Gate", request: web.Request):
+async def take_job(gate: GateProcess, request: web.Request):
     """Takes a job and answers once it is recorded or refused."""
     queue = await find_queue(gate, request, for_requests=False)
     parsed = parse_body(JobBody, await request.read())
@@ -117,7 +114,7 @@
         gate.in_flight -= 1
 
 
-async def _submit(gate: "Gate", queue: Queue, team: str, body: JobBody):
+async def _submit(gate: GateProcess, queue: Queue, team: str, body: JobBody):
     """Offers a job to the shards of its queue, the roomiest first, until one takes it."""
     choices = gate.router.list_choices(gate.follower.state, queue)
     if body.name:
@@ -147,7 +144,7 @@
     return web.json_response(shown, status=status, headers=make_retry(retry_s))
 
 
-async def _submit_to(gate: "Gate", owner, shard, job, queue, team, body: JobBody) -> Outcome:
+async def _submit_to(gate: GateProcess, owner, shard, job, queue, team, body: JobBody) -> Outcome:
     """Offers a job to the owner of one shard."""
     message = ttypes.SubmitJob(
         job=job,
@@ -168,7 +165,7 @@
         return Unknown(error.fault) if error.sent else NotRun(error.fault)
 
 
-async def _ask_owners(gate: "Gate", message) -> list:
+async def _ask_owners(gate: GateProcess, message) -> list:
     """Sends a message to every owner of a shard and returns the replies that came."""
     owners = {owner.node: owner for owner in gate.list_owned().values()}
     replies = await asyncio.gather(
@@ -178,7 +175,7 @@
     return [reply for reply in replies if isinstance(reply, ttypes.Reply)]
 
 
-async def list_jobs(gate: "Gate", request: web.Request):
+async def list_jobs(gate: GateProcess, request: web.Request):
     """Answers with the jobs of the key's team, or with one of them."""
     await wait_for_config(gate)
     team = check_key(gate, read_key(gate, request))
@@ -193,7 +190,7 @@
     return web.json_response(jobs[0])
 
 
-async def cancel_job(gate: "Gate", request: web.Request):
+async def cancel_job(gate: GateProcess, request: web.Request):
     """Cancels a job of the key's team, whoever owns it."""
     await wait_for_config(gate)
     team = check_key(gate, read_key(gate, request))
--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -102,6 +102,9 @@
     occurrence: int
     step: int
 
+    def __str__(self) -> str:
+        return f"{self.job}.{self.occurrence}.{self.step}"
+
 
 @dataclass(slots=True, frozen=True)
 class RunRecord:
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -22,12 +22,11 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """The jobs, the leader's term and the nodes, as of offset ``next_offset`` of the log.
+    """The jobs, the leader's term and the nodes, as far as the log has been read.
 
     ``ended`` holds the final state of jobs whose description is dropped.
     """
 
-    next_offset: int = 0
     jobs: dict[str, Job] = field(default_factory=dict)
     ended: dict[str, JobState] = field(default_factory=dict)
     ended_at_s: dict[str, float] = field(default_factory=dict)
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -153,7 +153,6 @@
             self.ledger = Ledger()
         for record in batch.records:
             self._apply(record)
-        self.ledger.next_offset = batch.next_offset
 
     def _apply(self, record: KeyedRecord):
         try:
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -42,7 +42,6 @@
     revoke_ms: float = Field(default=5000, gt=500)
     grace_s: float = Field(default=6.0, gt=0, le=3600)
     lease_s: float = Field(default=8.0, gt=1, le=9.5)
-    speed: float = Field(default=1.0, gt=0)
 
 
 def load_node_settings(path: str) -> Checked:
--- a/caroblead/tools/mechanism_test.py
+++ b/caroblead/tools/mechanism_test.py
@@ -122,7 +122,7 @@
         if not shard.is_owned():
             shard.listed = listed
 
-    monkeypatch.setattr("caroblead.placer.program.apply_list", apply_names_only)
+    monkeypatch.setattr("caroblead.placer.process.apply_list", apply_names_only)
     assert "leaving" in play([(2, switch(leave=["z1-v0"]))])
 
 
