--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 faults: $(VENV)/ready
 	$(BIN)/python -m caroblead.bench.faults --seeds 40
+	$(BIN)/python -m caroblead.bench.trial --seeds 100
 
 control: $(VENV)/ready
 	$(BIN)/python -m caroblead.bench.hop
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -49,6 +49,8 @@
 )
 
 SWEEP_S = 0.1
+# By how much answers on different connections to a VM may overtake each other.
+CROSSED_ANSWERS_S = 0.5
 # How long the state of an ended job can be asked for.
 KEEP_ENDED_S = 240.0
 DROP_S = 1.0
@@ -216,15 +218,19 @@
     def on_reborn(self, row: VmRow, incarnation: int):
         """Takes in that a VM has started again: nothing of its former life runs any more.
 
-        An order that was not answered may still be carried out by the new life. Until that life has
-        refused it, by having seen this term or a stop, its task is not run elsewhere.
+        An order that was not answered may still be carried out by the new life, and one that was
+        answered since the last lists may have been answered by the new life, for an order names a
+        VM and not its life. Until the new life has refused it, by having seen this term or a stop,
+        or doesn't list it, its task is not run elsewhere.
         """
         log("vm:started_again", vm=row.name, incarnation=incarnation, runs=len(row.runs))
+        last_lists_s = row.heard_s - CROSSED_ANSWERS_S
         reset_incarnation(row, incarnation, get_elapsed_s())
         for run in list(row.runs.values()):
             if run.phase is RunPhase.INHERITED:
                 continue
-            if run.unanswered or run.phase is RunPhase.ORDERED:
+            may_be_new = run.phase is RunPhase.RUNNING and run.settled_s > last_lists_s
+            if run.unanswered or may_be_new or run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.UNSURE
                 run.unanswered = True
             else:
--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -51,6 +51,7 @@
         self.extra_patience_s = 0.0
         self.jitter_s = self._draw_jitter()
         self.tried_number = 0
+        self.led_number = 0
         self.tried_s = 0.0
         self.on_won: Callable[[int, float], None] = lambda number, proved_s: None
         self.on_displaced: Callable[[str], None] = lambda detail: None
@@ -86,16 +87,29 @@
         self.hear_leader()
         self.jitter_s = self._draw_jitter()
         if term.incarnation == self.incarnation and self.state != "leaving":
-            if self.state != "leading":
-                self.win()
-            log("election:won", term=term.number)
-            self.on_won(term.number, self.tried_s)
+            self._take_own_term(term)
             return
         log("election:term_heard", term=term.number, leader=term.node)
         if self.state == "leading":
             self.step_back()
             self.on_displaced(f"{term.node} began term {term.number}")
 
+    def _take_own_term(self, term: Term):
+        """Begins to lead, but never twice in one term.
+
+        Appends are numbered within a term, and the log would take the first ones of a second try
+        for repeats and drop them.
+        """
+        if term.number <= self.led_number:
+            log("election:term_spent", term=term.number)
+            self.hear_resignation()
+            return
+        self.led_number = term.number
+        if self.state != "leading":
+            self.win()
+        log("election:won", term=term.number)
+        self.on_won(term.number, self.tried_s)
+
     def is_due(self, now_s: float) -> bool:
         """Returns whether this node should try to lead now."""
         if self.state != "following" or not self.tail.caught_up:
--- a/caroblead/node/program_test.py
+++ b/caroblead/node/program_test.py
@@ -7,6 +7,7 @@
 from ..core.resource import Resources
 from ..jobs.data import JobState, StepSpec
 from ..jobs.ledger import find_state
+from ..jobs.record import KeyedRecord
 from ..standin.cluster import (
     find_leader,
     kill_node,
@@ -19,7 +20,7 @@
     submit,
     wait_for_leader,
 )
-from ..standin.verdict import check_history, list_unfinished
+from ..standin.verdict import Promises, check_history, list_unfinished
 
 NEED = Resources(1000, 1024)
 CAPACITY = Resources(4000, 8192)
@@ -40,9 +41,10 @@
 
 def judge(site, unfinished=True):
     promised = {name: spec for name, spec in site.accepted.items() if name not in site.refused}
-    problems = check_history(site.park.history, site.accepted, CAPACITY, site.cap)
+    promises = Promises(site.accepted, CAPACITY, site.cap, rejected=site.rejected)
+    problems = check_history(site.park.history, promises)
     if unfinished:
-        problems += list_unfinished(site.park.history, promised)
+        problems += list_unfinished(site.park.history, site.accepted, promised)
     assert problems == []
     for node in site.nodes.values():
         for name in promised if unfinished else ():
@@ -226,6 +228,22 @@
     judge(play(scenario))
 
 
+async def order_while_a_vm_starts_again():
+    """Hands jobs in just when a VM has started again and nobody knows it yet."""
+    site = await start_site(vm_count=2)
+    for _ in range(6):
+        site.park.crash("vm-0", 0.05)
+        await asyncio.sleep(0.06)
+        await submit(site, "n0", make_spec(one_step(6), seconds=2))
+        await asyncio.sleep(1.5)
+    await asyncio.sleep(25)
+    return site
+
+
+def test_order_answered_by_the_next_life_of_a_vm_doubles_nothing():
+    judge(play(order_while_a_vm_starts_again))
+
+
 def test_vm_cut_off_with_its_leader_killed_runs_nothing_twice():
     async def scenario():
         site = await start_site()
@@ -239,6 +257,24 @@
     judge(play(scenario))
 
 
+async def freeze_leader_that_alone_reaches_a_vm():
+    """Freezes the leader just after a proof of its term; the others can't reach one VM."""
+    site = await start_site()
+    await submit_stream(site, make_spec(one_step(4), seconds=30), 3, 0.05)
+    await asyncio.sleep(0.5)
+    frozen = find_leader(site)
+    site.park.cut = {(name, "vm-1") for name in site.nodes if name != frozen}
+    site.troubles[frozen].frozen = True
+    await asyncio.sleep(6.0)
+    site.troubles[frozen].frozen = False
+    await asyncio.sleep(80)
+    return site
+
+
+def test_leader_frozen_after_its_proof_prolongs_no_lease():
+    judge(play(freeze_leader_that_alone_reaches_a_vm))
+
+
 def test_vm_cut_off_runs_out_before_its_tasks_start_elsewhere():
     async def scenario():
         site = await start_site()
@@ -282,6 +318,22 @@
     judge(play(scenario))
 
 
+async def forget_history_early_in_a_term():
+    """Drops the history of the store, unread, when few appends of the term have been made."""
+    site = await start_site()
+    await submit_stream(site, make_spec(one_step(), seconds=1), 2, 0.3)
+    # Nobody has read this record when the history before it goes.
+    site.ledger.append([KeyedRecord("x/unread", b"1")], None)
+    site.ledger.forget()
+    await submit_stream(site, make_spec(one_step(), seconds=1), 12, 0.05)
+    await asyncio.sleep(10)
+    return site
+
+
+def test_history_forgotten_early_in_a_term_swallows_no_decision():
+    judge(play(forget_history_early_in_a_term))
+
+
 def test_cancelled_job_stops_and_stays_cancelled():
     async def scenario():
         site = await start_site()
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -13,7 +13,7 @@
 from ..jobs.data import JobQueue, JobSpec, StepSpec
 from ..jobs.record import KeyedRecord
 from ..node.configuration import ConfigurationBook
-from ..node.intake import Accepted, Admission
+from ..node.intake import Accepted, Admission, Cancelled, Rejected
 from ..node.program import Node, NodeAdapters
 from ..node.registry import Registry
 from ..node.setting import NodeSettings
@@ -39,7 +39,13 @@
 
 @dataclass(slots=True, eq=False)
 class Site:
-    """A store, VMs and nodes; ``accepted`` has the jobs that callers were promised."""
+    """A store, VMs and nodes.
+
+    ``accepted`` has every job that was handed in, with its queue in ``queues``; ``refused`` those
+    without a promise and ``rejected`` those of them that will certainly not run. Of the jobs in
+    ``cancel_asked``, ``cancelled_s`` tells when the caller was told that it is cancelled;
+    ``draining_s`` is when the registry first showed a VM as draining.
+    """
 
     park: VmPark
     ledger: MemoryTopic = field(default_factory=MemoryTopic)
@@ -48,7 +54,12 @@
     nodes: dict[str, Node] = field(default_factory=dict)
     troubles: dict[str, Trouble] = field(default_factory=dict)
     accepted: dict[str, JobSpec] = field(default_factory=dict)
+    queues: dict[str, str] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    rejected: set[str] = field(default_factory=set)
+    cancel_asked: set[str] = field(default_factory=set)
+    cancelled_s: dict[str, float] = field(default_factory=dict)
+    draining_s: dict[str, float] = field(default_factory=dict)
     ids: itertools.count = field(default_factory=lambda: itertools.count(1))
     seeds: itertools.count = field(default_factory=lambda: itertools.count(1))
     cap: Resources = Resources()
@@ -71,12 +82,11 @@
     return plan_work
 
 
-def list_vm(number: int, incarnation: int = 1) -> ListedVm:
+def list_vm(number: int, incarnation: int = 1, draining: bool = False) -> ListedVm:
     """Returns the entry of a test's VM, of four cores and eight gibibytes."""
     capacity = Resources(4000, 8192)
-    return ListedVm(
-        f"vm-{number}", incarnation, SERVICE, f"vm:{number}", "a", "r1", ("r1",), capacity, False
-    )
+    name, address = f"vm-{number}", f"vm:{number}"
+    return ListedVm(name, incarnation, SERVICE, address, "a", "r1", ("r1",), capacity, draining)
 
 
 def put_config(site: Site, version: int):
@@ -85,8 +95,11 @@
 
 
 def put_vm_entry(site: Site, listed: ListedVm):
-    """Registers a VM; the records of tests hold only its incarnation."""
-    site.registry.append([KeyedRecord(listed.name, b"%d" % listed.incarnation)], None)
+    """Registers a VM; the records of tests hold its incarnation and whether it is draining."""
+    value = b"%d %d" % (listed.incarnation, listed.draining)
+    site.registry.append([KeyedRecord(listed.name, value)], None)
+    if listed.draining:
+        site.draining_s.setdefault(listed.name, asyncio.get_running_loop().time())
 
 
 async def start_site(vm_count: int = 4, node_count: int = 3, cap: Resources | None = None) -> Site:
@@ -119,7 +132,7 @@
         MemoryLog(site.ledger, trouble),
         MemoryLog(site.config, trouble),
         MemoryLog(site.registry, trouble),
-        ParkAccess(site.park, name),
+        ParkAccess(site.park, name, trouble),
         NoAdvisor(),
     )
 
@@ -128,7 +141,8 @@
         return Configuration(int(value), dict(QUEUES), teams, {KEY: "north"})
 
     def decode_vm(name: str, value: bytes) -> ListedVm:
-        return list_vm(int(name.split("-")[1]), int(value))
+        incarnation, draining = map(int, value.split())
+        return list_vm(int(name.split("-")[1]), incarnation, bool(draining))
 
     book = ConfigurationBook("config", decode_config)
     node = Node(settings, adapters, book, Registry(decode_vm), next(site.seeds))
@@ -160,13 +174,25 @@
     """Hands a job in at a node and notes the answer."""
     job_id = f"{next(site.ids):016x}"
     site.accepted[job_id] = spec
+    site.queues[job_id] = queue
     admission = Admission(QUEUES[queue], "north")
+    site.refused.add(job_id)
     outcome = await site.nodes[node].intake.submit(admission, job_id, spec, 3.0)
-    if not isinstance(outcome, Accepted):
-        site.refused.add(job_id)
+    if isinstance(outcome, Accepted):
+        site.refused.discard(job_id)
+    elif isinstance(outcome, Rejected):
+        site.rejected.add(job_id)
     return job_id
 
 
+async def cancel(site: Site, node: str, job_id: str):
+    """Cancels a job at a node and notes when that was acknowledged."""
+    site.cancel_asked.add(job_id)
+    outcome = await site.nodes[node].intake.cancel(job_id, 3.0)
+    if isinstance(outcome, Cancelled):
+        site.cancelled_s[job_id] = asyncio.get_running_loop().time()
+
+
 def make_spec(*steps: StepSpec, **fields) -> JobSpec:
     """Returns a job; ``seconds`` and ``failing_runs`` tell how its tasks behave."""
     return JobSpec(orjson.dumps(fields).decode(), steps)
--- a/caroblead/standin/keyedlog.py
+++ b/caroblead/standin/keyedlog.py
@@ -1,7 +1,8 @@
 """A stand-in for one topic of the platform's store, in memory.
 
 It keeps the newest record of each key, fences appends of former terms and has switches for the
-troubles of a store: down, answers lost, calls carried out late.
+troubles of a store: down, answers lost, calls carried out late. A caller can be frozen: what it
+sends then goes out, and what comes for it arrives, once it wakes.
 """
 
 import asyncio
@@ -12,16 +13,25 @@
 from ..jobs.record import KeyedRecord
 
 ANSWER_S = 0.004
+# The store answers a repeat of one of the latest appends as it answered the first time.
+ANSWERS_KEPT = 5
+FROZEN_STEP_S = 0.02
 
 
 @dataclass(slots=True)
 class Trouble:
-    """What is wrong with the store, for everybody or for one caller."""
+    """What is wrong with one caller and its way to the store."""
 
     down: bool = False
     silent: bool = False
     lost_answers: int = 0
     late_s: float = 0.0
+    frozen: bool = False
+
+    async def wait_while_frozen(self):
+        """Returns once the caller is awake."""
+        while self.frozen:
+            await asyncio.sleep(FROZEN_STEP_S)
 
 
 @dataclass(slots=True)
@@ -55,6 +65,7 @@
                 raise FencedError(f"expected {self.sequence + 1}")
             self.sequence = fence.sequence
             self.answers[fence.sequence] = self.end_offset
+            self.answers.pop(fence.sequence - ANSWERS_KEPT, None)
         offset = self.end_offset
         for record in records:
             self.newest.pop(record.key, None)
@@ -86,6 +97,7 @@
             await asyncio.sleep(timeout_s)
             raise LogError("no answer", True)
         offset = self.topic.append(records, fence)
+        await self.trouble.wait_while_frozen()
         if self.trouble.lost_answers > 0:
             self.trouble.lost_answers -= 1
             await asyncio.sleep(timeout_s)
@@ -112,8 +124,10 @@
             await self._reach(0.5)
         if offset < topic.first_offset:
             raise HistoryGoneError("gone")
+        end_offset = topic.end_offset
         records = topic.records[offset - topic.first_offset :]
-        return Batch(records, offset + len(records), topic.end_offset)
+        await self.trouble.wait_while_frozen()
+        return Batch(records, offset + len(records), end_offset)
 
     async def read_newest(self) -> Batch:
         """Reads all keys; see :class:`caroblead.dispatch.interface.KeyedLog`."""
@@ -124,6 +138,7 @@
         return Batch(records, topic.end_offset, topic.end_offset)
 
     async def _reach(self, timeout_s: float):
+        await self.trouble.wait_while_frozen()
         if self.trouble.silent:
             await asyncio.sleep(timeout_s)
             raise LogError("no answer", True)
--- a/caroblead/standin/taskvm.py
+++ b/caroblead/standin/taskvm.py
@@ -1,7 +1,8 @@
 """A stand-in for the platform's VMs, in memory, with the history that a checker needs.
 
 Each VM keeps the highest term that it has seen, a lease, what runs and the ends nobody has taken
-note of. Orders can be lost on the way back or carried out late.
+note of. Orders can be lost on the way back or carried out late. An order names the VM and not its
+life, so a VM that has started again carries out what was meant for the life before.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
     Target,
     TaskName,
 )
+from .keyedlog import Trouble
 
 ANSWER_S = 0.002
 STOP_S = 0.1
@@ -224,9 +226,10 @@
 class ParkAccess:
     """One caller's way to the VMs."""
 
-    def __init__(self, park: VmPark, caller: str):
+    def __init__(self, park: VmPark, caller: str, trouble: Trouble | None = None):
         self.park = park
         self.caller = caller
+        self.trouble = trouble or Trouble()
 
     async def start(self, target: Target, order: StartOrder):
         """Starts a task."""
@@ -242,6 +245,7 @@
         if vm is None:
             return NoAnswer("no answer")
         answer = await self.park.hold(vm, term, seen, deadline_ms, wait_s)
+        await self.trouble.wait_while_frozen()
         return answer if self._is_open(target) else NoAnswer("no answer")
 
     def _is_open(self, target: Target) -> bool:
@@ -249,6 +253,7 @@
         return vm.up and (self.caller, target.vm) not in self.park.cut
 
     async def _reach(self, target: Target) -> TaskVm | None:
+        await self.trouble.wait_while_frozen()
         await asyncio.sleep(ANSWER_S)
         if not self._is_open(target):
             await asyncio.sleep(0.4)
@@ -265,6 +270,7 @@
             await asyncio.sleep(0.4)
             return NoAnswer("no answer")
         answer = carry_out(vm)
+        await self.trouble.wait_while_frozen()
         if self.park.lose_answers > 0:
             self.park.lose_answers -= 1
             await asyncio.sleep(0.4)
