Let strong machines lead, and pack the records that every node reads

Cause: on the grown sites machines differ (0.5 to 2.2 cores, 10 to 200 Mbit/s).

Nodes now announce how much work they can do (cores, or what their link can carry). Strong ones stand first, weak ones only when no strong one does, and a weak leader hands the term over to a strong node that answers. A leader that stops names its heir.

Tests: election_test, and a weak leader that hands over in program_test.

--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -67,9 +67,10 @@
         self.wake.set()
         await done
 
-    async def resign(self):
-        """Ends the term in the log, after everything decided before."""
-        self.add(KeyedRecord(make_key(RecordKind.BEAT, RESIGN_NAME), b"%d" % self.term))
+    async def resign(self, heir: str = ""):
+        """Ends the term in the log, after everything decided before, in favour of a node."""
+        value = f"{self.term} {heir}".rstrip().encode()
+        self.add(KeyedRecord(make_key(RecordKind.BEAT, RESIGN_NAME), value))
         await self.wait_flushed()
 
     async def run(self):
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -71,7 +71,12 @@
 
 @dataclass(slots=True, frozen=True)
 class LeaderResigned:
-    """The leader ends its term by itself, so that another can begin at once."""
+    """The leader ends its term by itself, so that another can begin at once.
+
+    ``heir`` is the node that should be the next leader, if the leader named one.
+    """
+
+    heir: str = ""
 
 
 Change = JobAdded | JobCancelled | ProgressMade | TermBegun | LeaderHeard | LeaderResigned
@@ -94,8 +99,7 @@
     if record.kind == RecordKind.BEAT:
         if record.name != RESIGN_NAME:
             return LeaderHeard()
-        current = ledger.term is not None and record.value == b"%d" % ledger.term.number
-        return LeaderResigned() if current else None
+        return _apply_resignation(ledger, record)
     if record.kind == RecordKind.TERM and record.value:
         term = decode_term(record.value)
         if ledger.term is not None and term.number <= ledger.term.number:
@@ -110,6 +114,13 @@
     return None
 
 
+def _apply_resignation(ledger: Ledger, record: KeyedRecord) -> Change | None:
+    term, _, heir = record.value.decode().partition(" ")
+    if ledger.term is None or term != str(ledger.term.number):
+        return None
+    return LeaderResigned(heir)
+
+
 def _apply_job(ledger: Ledger, record: KeyedRecord) -> Change | None:
     job_id = record.name
     if not record.value or job_id in ledger.jobs or job_id in ledger.ended:
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import zlib
 from dataclasses import dataclass
 
 import orjson
@@ -65,13 +66,14 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeRecord:
-    """Where a node answers its peers."""
+    """Where a node answers its peers, and how many plain cores' worth of work it can do."""
 
     node: str
     zone: str
     host: str
     port: int
     incarnation: str
+    strength: float = 1.0
 
 
 def make_key(kind: RecordKind, name: str) -> str:
@@ -79,7 +81,9 @@
     return f"{kind}/{name}"
 
 
-# Letters for the states of a job, at the head of its progress record.
+PACK_LEVEL = 1
+
+# Letters for the states of a job, at the head of its progress record, which nodes read unpacked.
 _STATE_LETTERS = {
     JobState.QUEUED: b"q",
     JobState.RUNNING: b"r",
@@ -123,10 +127,22 @@
     return JobQueue(**fields)
 
 
+def _pack(fields: object) -> bytes:
+    """Writes a record small, for every node reads every record."""
+    return zlib.compress(orjson.dumps(fields), PACK_LEVEL)
+
+
+def _unpack(value: bytes) -> object:
+    try:
+        return orjson.loads(zlib.decompress(value))
+    except zlib.error as error:
+        raise ValueError(f"not a packed record: {error}") from error
+
+
 def encode_job(job: Job) -> bytes:
     """Writes what was handed in, with the queue as it was when the job was accepted."""
     spec = job.spec
-    return orjson.dumps(
+    return _pack(
         {
             "team": job.team,
             "queue": _encode_queue(job.queue),
@@ -140,7 +156,7 @@
 
 def decode_job(job_id: str, value: bytes) -> Job:
     """Reads a job that :func:`encode_job` wrote."""
-    raw = orjson.loads(value)
+    raw = _unpack(value)
     steps = tuple(_decode_step(fields) for fields in raw["steps"])
     spec = JobSpec(raw["payload"], steps, *raw["times"])
     return Job(job_id, raw["team"], _decode_queue(raw["queue"]), spec, raw["at"])
@@ -163,7 +179,7 @@
         ]
         for (occurrence, step), part in progress.steps.items()
     ]
-    return letter + orjson.dumps(steps)
+    return letter + _pack(steps)
 
 
 def read_state(value: bytes) -> JobState:
@@ -181,7 +197,7 @@
     progress = Progress(read_state(value))
     if progress.state in (JobState.DONE, JobState.FAILED, JobState.CANCELLED):
         return progress
-    for occurrence, step, last_run, done, failures, runs, checkpoints in orjson.loads(value[1:]):
+    for occurrence, step, last_run, done, failures, runs, checkpoints in _unpack(value[1:]):
         progress.steps[occurrence, step] = StepProgress(
             last_run,
             set(done),
@@ -204,7 +220,7 @@
 
 def encode_node(record: NodeRecord) -> bytes:
     """Writes where a node answers."""
-    return orjson.dumps([record.node, record.zone, record.host, record.port, record.incarnation])
+    return orjson.dumps([getattr(record, name) for name in NodeRecord.__dataclass_fields__])
 
 
 def decode_node(value: bytes) -> NodeRecord:
--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -29,6 +29,10 @@
 # Nodes try one after another, so that one of them usually wins without a rival.
 MAX_JITTER_S = 0.2
 RESIGNED_JITTER_S = 0.15
+# How long the others leave a free term to the heir that the last leader named.
+HEIR_HEADSTART_S = 0.4
+# A node with less than this part of the strongest node's strength leads only if it must.
+STRONG_PART = 0.75
 APPEND_TIMEOUT_S = 1.0
 CONSIDER_S = 0.05
 
@@ -75,10 +79,15 @@
         usual_s = GAPS_OF_SILENCE * self.gap_s + SILENCE_SLACK_S
         return min(MAX_SILENCE_S, max(MIN_SILENCE_S, usual_s))
 
-    def hear_resignation(self):
-        """Takes in that the leader has ended its term."""
+    def hear_resignation(self, heir: str = ""):
+        """Takes in that the leader has ended its term, and which node should begin the next."""
         self.resigned = True
-        self.jitter_s = self.random.random() * RESIGNED_JITTER_S
+        self.jitter_s = self.random.random() * RESIGNED_JITTER_S + self.extra_patience_s
+        if heir == self.node:
+            self.jitter_s = 0.0
+        elif heir:
+            self.jitter_s += HEIR_HEADSTART_S
+        self.heard_s = get_elapsed_s()
 
     def hear_term(self, term: Term):
         """Takes in that a term has begun, of this node or another."""
@@ -143,15 +152,24 @@
             self.jitter_s = self._draw_jitter()
 
 
+def find_strong(nodes: dict[str, NodeRecord]) -> set[str]:
+    """Returns the nodes that are about as strong as the strongest."""
+    limit = STRONG_PART * max((record.strength for record in nodes.values()), default=0.0)
+    return {name for name, record in nodes.items() if record.strength >= limit}
+
+
 def list_candidates(nodes: dict[str, NodeRecord]) -> list[str]:
-    """Returns the nodes in the order in which they should stand, the first ones from many zones.
+    """Returns the nodes in the order in which they should stand.
 
-    All nodes agree on the order, which depends on the names alone.
+    Strong nodes come before weak ones, and the first ones are from many zones. All nodes agree on
+    the order, which depends on the records of the nodes alone.
     """
-    places: dict[str, int] = {}
+    strong = find_strong(nodes)
+    places: dict[object, int] = {}
     order = []
     for node in sorted(nodes, key=lambda name: (zlib.crc32(name.encode()), name)):
         zone = nodes[node].zone
-        order.append((places.get(zone, 0), len(order), node))
-        places[zone] = places.get(zone, 0) + 1
-    return [node for _, _, node in sorted(order)]
+        group = zone, node in strong
+        order.append((node not in strong, places.get(group, 0), len(order), node))
+        places[group] = places.get(group, 0) + 1
+    return [entry[-1] for entry in sorted(order)]
--- /dev/null
+++ b/caroblead/node/election_test.py
@@ -0,0 +1,51 @@
+"""Which nodes stand first when a leader is needed."""
+
+from ..jobs.ledger import RESIGN_NAME, LeaderResigned, Ledger, apply_record
+from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, Term, make_key
+from .election import find_strong, list_candidates
+from .setting import NodeSettings, compute_strength
+
+
+def make_nodes(**strengths):
+    return {
+        name: NodeRecord(name, name[0], "h", 1, f"{name}~1", strength)
+        for name, strength in strengths.items()
+    }
+
+
+def test_strong_nodes_of_different_zones_stand_first():
+    nodes = make_nodes(a1=2.0, a2=2.0, a3=0.5, b1=1.9, b2=0.5, c1=0.5)
+    assert find_strong(nodes) == {"a1", "a2", "b1"}
+    order = list_candidates(nodes)
+    assert {name[0] for name in order[:2]} == {"a", "b"}
+    assert set(order[:3]) == {"a1", "a2", "b1"}
+    assert sorted(order) == sorted(nodes)
+
+
+def test_equal_nodes_are_all_strong():
+    nodes = make_nodes(a1=1.0, b1=1.0)
+    assert find_strong(nodes) == {"a1", "b1"}
+
+
+def test_thin_link_makes_a_node_weak():
+    fields = {
+        "node": "n",
+        "zone": "a",
+        "host": "h",
+        "callers": "1:1",
+        "readiness": "1:1",
+        "peer_port": 0,
+        "store": "1:1",
+    }
+    fast = NodeSettings(**fields, core_share=0.7, core_speed=3.0, link_mbps=1000)
+    thin = NodeSettings(**fields, core_share=0.7, core_speed=3.0, link_mbps=5)
+    assert round(compute_strength(fast), 2) == 2.1
+    assert compute_strength(thin) == 0.5
+
+
+def test_resignation_names_its_heir_and_counts_in_its_own_term_only():
+    ledger = Ledger(term=Term(4, "n1", "n1~1"))
+    key = make_key(RecordKind.BEAT, RESIGN_NAME)
+    assert apply_record(ledger, KeyedRecord(key, b"4 n2")) == LeaderResigned("n2")
+    assert apply_record(ledger, KeyedRecord(key, b"4")) == LeaderResigned("")
+    assert apply_record(ledger, KeyedRecord(key, b"3 n2")) is None
--- a/caroblead/node/peer.py
+++ b/caroblead/node/peer.py
@@ -15,6 +15,8 @@
 
 # How much longer than its wait an answer about a job may take.
 STATE_SLACK_S = 0.15
+# A peer that does not answer within this time isn't fit to lead.
+ALIVE_TIMEOUT_S = 0.25
 
 
 class Peers:
@@ -72,6 +74,15 @@
             return None
         return JobState(reply.state) if reply.state else None
 
+    async def is_alive(self, record: NodeRecord) -> bool:
+        """Returns whether a peer answers now."""
+        address = Address(record.node, record.host, record.port)
+        try:
+            await self.caller.call(address, ttypes.AskState(job="", wait_ms=0), ALIVE_TIMEOUT_S)
+        except CallError:
+            return False
+        return True
+
     async def close(self):
         """Closes all connections."""
         await self.caller.close()
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -22,13 +22,13 @@
 from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, encode_node, make_key
 from .appender import Appender, Stored
 from .configuration import ConfigurationBook
-from .election import CONSIDER_S, Election, list_candidates
+from .election import CONSIDER_S, Election, find_strong, list_candidates
 from .intake import Intake
 from .metric import NodeMetrics, write_node_metrics
 from .news import NewsDesk
 from .peer import Peers
 from .registry import Registry
-from .setting import NodeSettings
+from .setting import NodeSettings, compute_strength
 from .tail import Tail
 
 LEDGER_WAIT_S = 0.2
@@ -37,6 +37,10 @@
 CANDIDATES = 3
 LEISURE_PAUSE_S = 0.3
 LEISURE_PATIENCE_S = 0.3
+WEAK_PATIENCE_S = 0.7
+# How often a weak leader looks for a strong node to lead in its place, and how long it leads first.
+YIELD_CHECK_S = 1.0
+MIN_TERM_S = 2.0
 LEADER_LEDGER_PAUSE_S = 0.015
 CONFIGURATION_WAIT_S = 0.4
 REGISTRY_WAIT_S = 1.0
@@ -124,6 +128,7 @@
         )
         self.tasks = [asyncio.create_task(guard(loop)) for loop in loops]
         self.timers.subscribe(CONSIDER_S, self.election.consider)
+        self.timers.subscribe(YIELD_CHECK_S, self._yield_to_stronger)
 
     async def _announce(self):
         """Tells peers through the log where this node answers."""
@@ -134,6 +139,7 @@
             settings.host,
             self.peers.server.port,
             self.election.incarnation,
+            compute_strength(settings),
         )
         keyed = KeyedRecord(make_key(RecordKind.NODE, settings.node), encode_node(record))
         while await self.appender.append(keyed, ANNOUNCE_TIMEOUT_S) is not Stored.YES:
@@ -167,7 +173,7 @@
             if isinstance(change, ProgressMade):
                 self.news.announce(change.job_id)
         elif isinstance(change, LeaderResigned):
-            self.election.hear_resignation()
+            self.election.hear_resignation(change.heir)
         elif isinstance(change, TermBegun):
             self.election.hear_term(change.term)
         elif change is not None and self.leader is not None:
@@ -195,7 +201,9 @@
             first = list_candidates(self.ledger.nodes)[:CANDIDATES]
             close = not first or self.settings.node in first
             self.ledger_tail.pause_s = LEDGER_PAUSE_S if close else LEISURE_PAUSE_S
-            self.election.extra_patience_s = 0.0 if close else LEISURE_PATIENCE_S
+            weak = self.settings.node not in find_strong(self.ledger.nodes)
+            patience_s = WEAK_PATIENCE_S if weak else LEISURE_PATIENCE_S
+            self.election.extra_patience_s = 0.0 if close else patience_s
 
     async def _ask_leader(self, job_id: str, wait_s: float) -> JobState | None:
         """Asks the node that leads, as far as this node knows."""
@@ -251,6 +259,26 @@
         self._choose_pace()
         self.registry_tail.pause_s = REGISTRY_PAUSE_S
 
+    async def _find_heir(self, names: list[str]) -> str:
+        """Returns the first of some nodes that answers, or nothing."""
+        for name in names[:CANDIDATES]:
+            if await self.peers.is_alive(self.ledger.nodes[name]):
+                return name
+        return ""
+
+    async def _yield_to_stronger(self):
+        """Hands the term over if this node is weak and a strong one could lead."""
+        leader, strong = self.leader, find_strong(self.ledger.nodes)
+        if leader is None or self.settings.node in strong or self.draining:
+            return
+        if get_elapsed_s() - leader.fleet.term_began_s < MIN_TERM_S:
+            return
+        names = [name for name in list_candidates(self.ledger.nodes) if name in strong]
+        heir = await self._find_heir(names)
+        if heir and self.leader is leader and not leader.state.lost:
+            log("node:yields", term=leader.term, heir=heir)
+            await leader.commit.resign(heir)
+
     # Stopping.
 
     async def drain(self, frontend):
@@ -270,10 +298,14 @@
 
     async def _hand_over(self):
         leave = KeyedRecord(make_key(RecordKind.NODE, self.settings.node), b"")
+        heir = ""
+        if self.leader is not None:
+            others = [n for n in list_candidates(self.ledger.nodes) if n != self.settings.node]
+            heir = await self._find_heir(others)
         if self.leader is not None:
             self.leader.commit.add(leave)
             try:
-                await asyncio.wait_for(self.leader.commit.resign(), 1.0)
+                await asyncio.wait_for(self.leader.commit.resign(heir), 1.0)
             except TimeoutError:
                 log("node:not_handed_over")
             self._close_leader()
--- a/caroblead/node/program_test.py
+++ b/caroblead/node/program_test.py
@@ -121,6 +121,23 @@
     judge(play(scenario))
 
 
+def test_weak_leader_hands_over_to_a_strong_node():
+    async def scenario():
+        site = await start_site(node_count=2)
+        spec = make_spec(one_step(), seconds=1)
+        await submit_stream(site, spec, 6, 0.05)
+        await start_node(site, "n9", strength=3.0)
+        await submit_stream(site, spec, 40, 0.1)
+        assert find_leader(site) == "n9"
+        await kill_node(site, "n9")
+        await submit_stream(site, spec, 6, 0.05)
+        await wait_for_leader(site)
+        await asyncio.sleep(8)
+        return site
+
+    judge(play(scenario))
+
+
 def test_all_nodes_killed_at_once_go_on_from_the_log():
     async def scenario():
         site = await start_site()
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -12,6 +12,8 @@
 from ..config.ticket import list_faults
 from ..core.outcome import Checked, Fault, Reason, Step
 
+# What a leader that keeps a plain core busy sends and receives.
+LINK_MBPS_PER_CORE = 10.0
 ADDRESS = r"^[0-9.]+:[0-9]{1,5}$"
 
 
@@ -26,7 +28,8 @@
 
     Times whose names end in ``_s`` are in seconds. ``revoke_ms`` is how long a withdrawn key may
     still work, ``lease_s`` how long a VM goes on without its leader, ``grace_s`` how long a planned
-    stop may take.
+    stop may take. The machine gives ``core_share`` of a core that is ``core_speed`` times as fast
+    as a plain one, and a network link of ``link_mbps``.
     """
 
     node: str = Field(min_length=1)
@@ -42,6 +45,15 @@
     revoke_ms: float = Field(default=5000, gt=500)
     grace_s: float = Field(default=6.0, gt=0, le=3600)
     lease_s: float = Field(default=8.0, gt=1, le=9.5)
+    core_share: float = Field(default=1.0, gt=0)
+    core_speed: float = Field(default=1.0, gt=0)
+    link_mbps: float = Field(default=1000.0, gt=0)
+
+
+def compute_strength(settings: NodeSettings) -> float:
+    """Returns how much work the node can do as the leader, in plain cores."""
+    cores = settings.core_share * settings.core_speed
+    return min(cores, settings.link_mbps / LINK_MBPS_PER_CORE)
 
 
 def load_node_settings(path: str) -> Checked:
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -116,7 +116,7 @@
     return site
 
 
-async def start_node(site: Site, name: str):
+async def start_node(site: Site, name: str, strength: float = 1.0):
     """Starts a node, or starts it again after a kill."""
     trouble = site.troubles.setdefault(name, Trouble())
     settings = NodeSettings(
@@ -127,6 +127,7 @@
         readiness="127.0.0.1:1",
         peer_port=0,
         store="127.0.0.1:1",
+        core_share=strength,
     )
     adapters = NodeAdapters(
         MemoryLog(site.ledger, trouble),
