Bound what a tick spends on a long backlog

A step now looks only at VMs of its own pool, not at all when no VM of it has that much free, and searches for room to be made at most every 0.25 s, eight steps a tick. A long tick is followed by a pause of one and a half times its length, so that leases and ends get their turn.

Ruled out: the other parts of the leader (0.27 s of processor time for 493 starts a second with stand-ins that take part of it).

Tests replay such a backlog: searches are spread over ticks, and a small step that fits still starts.

--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -24,6 +24,11 @@
 # How long a VM is kept for a step that found no room, and by how much that is prolonged.
 RESERVE_S = 1.2
 KEEP_S = 0.5
+# A step without room looks so often for runs to stop or VMs to keep, and so many look in one tick.
+SEARCH_GAP_S = 0.25
+MAX_SEARCHES_PER_TICK = 8
+# After so many steps without room it is seen how much the freest VMs still have.
+MISSES_PER_UPDATE = 10
 # Runs stopped for more urgent work in one tick.
 MAX_EVICTIONS_PER_TICK = 24
 
@@ -47,6 +52,18 @@
     advice_needed: list[StepWork] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Pool:
+    """The usable VMs of a service, or those of them with a label.
+
+    No VM of it has more free than ``most``, which is only brought down to date now and then.
+    """
+
+    rows: dict[str, VmRow]
+    most: Resources
+    misses: int = 0
+
+
 @dataclass(slots=True)
 class Moment:
     """What a tick works on: the tables, the time, and the room with the plan carried out."""
@@ -55,9 +72,12 @@
     now_s: float
     free: dict[str, Resources]
     used: dict[str, Resources]
+    rows: list[VmRow]
     plan: Plan = field(default_factory=Plan)
     slow: frozenset[str] | set[str] = frozenset()
     evictions_left: int = MAX_EVICTIONS_PER_TICK
+    searches_left: int = MAX_SEARCHES_PER_TICK
+    pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
 
 
 def plan_starts(
@@ -78,32 +98,75 @@
     """
     rows = [row for row in fleet.rows.values() if is_usable(row, now_s)]
     free = {row.name: row.free for row in rows}
-    moment = Moment(fleet, now_s, free, dict(fleet.used), slow=slow)
+    moment = Moment(fleet, now_s, free, dict(fleet.used), rows, slow=slow)
     drop_old_reservations(fleet, now_s)
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
         job = step.work.job
         service = services.get(job.queue.name, job.queue.service)
-        candidates = [row for row in rows if row.listed.service == service]
-        if step.spec.label:
-            candidates = [row for row in candidates if step.spec.label in row.listed.labels]
-        _plan_step(moment, step, rank, candidates, teams.get(job.team))
+        pool = _find_pool(moment, service, step.spec.label)
+        _plan_step(moment, step, rank, pool, teams.get(job.team))
     return moment.plan
 
 
-def _plan_step(moment: Moment, step: StepWork, rank: tuple, candidates, team):
+def _find_pool(moment: Moment, service: str, label: str) -> Pool:
+    pool = moment.pools.get((service, label))
+    if pool is None:
+        rows = {
+            row.name: row
+            for row in moment.rows
+            if row.listed.service == service and (not label or label in row.listed.labels)
+        }
+        pool = moment.pools[service, label] = Pool(rows, NOTHING)
+        _update_most(moment, pool)
+    return pool
+
+
+def _update_most(moment: Moment, pool: Pool):
+    frees = [moment.free[name] for name in pool.rows]
+    pool.most = Resources(
+        max((free.millicores for free in frees), default=0),
+        max((free.memory_mb for free in frees), default=0),
+        max((free.accelerators for free in frees), default=0),
+    )
+    pool.misses = 0
+
+
+def _may_fit(moment: Moment, pool: Pool, need: Resources) -> bool:
+    """Returns false when certainly no VM of the pool has room for a task."""
+    if pool.misses >= MISSES_PER_UPDATE:
+        _update_most(moment, pool)
+    return fits(need, pool.most)
+
+
+def _list_candidates(moment: Moment, pool: Pool, step: StepWork, rank: tuple) -> list[VmRow]:
+    """Returns the VMs that a step may use, whether they have room or not."""
+    kept = {
+        name
+        for name, held in moment.fleet.reservations.items()
+        if held.step != step.key and rank >= held.rank
+    }
+    if step.work.job.queue.advice is None:
+        return [row for name, row in pool.rows.items() if name not in kept]
+    # Sorted, for sets have no order of their own and the same tables must give the same plan.
+    allowed = sorted(step.advice.allowed & pool.rows.keys())
+    return [pool.rows[name] for name in allowed if name not in kept]
+
+
+def _plan_step(moment: Moment, step: StepWork, rank: tuple, pool: Pool, team):
     terms = step.work.job.queue.advice
-    unasked = []
-    if terms is not None:
-        unasked = [row for row in candidates if row.name not in step.advice.asked]
-        candidates = [row for row in candidates if row.name in step.advice.allowed]
-    candidates = [row for row in candidates if _may_use(moment, row, step, rank)]
-    chosen = _place_step(step, candidates, moment, team)
+    need = get_booked_need(step.spec)
+    may_fit = _may_fit(moment, pool, need)
+    if not may_fit and not _may_make_room(moment, step):
+        return
+    candidates = _list_candidates(moment, pool, step, rank)
+    chosen = _place_step(step, candidates, moment, team) if may_fit else []
+    if not chosen:
+        pool.misses += 1
     if terms is not None and not _has_tickets(step, chosen, terms, moment.now_s):
-        need = get_booked_need(step.spec)
-        ask = bool(chosen) or any(fits(need, moment.free[row.name]) for row in unasked)
-        if ask and not step.advice.pending and moment.now_s >= step.advice.retry_s:
-            moment.plan.advice_needed.append(step)
+        if not step.advice.pending and moment.now_s >= step.advice.retry_s:
+            if chosen or (may_fit and _may_fit_elsewhere(moment, pool, step, need)):
+                moment.plan.advice_needed.append(step)
         if chosen and step.spec.gang:
             _reserve(moment, step, rank, [row for _, row in chosen])
             _take_room(moment, step, chosen)
@@ -116,17 +179,31 @@
         _make_room(moment, step, rank, candidates, team, missing)
 
 
+def _may_fit_elsewhere(moment: Moment, pool: Pool, step: StepWork, need: Resources) -> bool:
+    """Returns whether a VM that the advice service hasn't been asked about has room."""
+    asked = step.advice.asked
+    return any(fits(need, moment.free[name]) for name in pool.rows if name not in asked)
+
+
+def _may_make_room(moment: Moment, step: StepWork) -> bool:
+    """Returns whether it is time to look for room that could be made for a step.
+
+    The search is long and seldom finds more than it did a moment ago.
+    """
+    may_search = moment.searches_left > 0 and moment.now_s >= step.search_s
+    return may_search or _holds_reservation(moment, step)
+
+
+def _holds_reservation(moment: Moment, step: StepWork) -> bool:
+    return any(held.step == step.key for held in moment.fleet.reservations.values())
+
+
 def _has_tickets(step: StepWork, chosen, terms, now_s: float) -> bool:
     if not chosen or now_s - step.advice.got_s >= terms.valid_s - TICKET_MARGIN_S:
         return False
     return all(row.name in step.advice.tickets for _, row in chosen)
 
 
-def _may_use(moment: Moment, row: VmRow, step: StepWork, rank: tuple) -> bool:
-    held = moment.fleet.reservations.get(row.name)
-    return held is None or held.step == step.key or rank < held.rank
-
-
 def _reserve(moment: Moment, step: StepWork, rank: tuple, rows: list[VmRow]):
     until_s = moment.now_s + RESERVE_S
     for row in rows:
@@ -147,11 +224,15 @@
     allowance = count_allowance(team, used, need)
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
-    if any(held.step == step.key for held in moment.fleet.reservations.values()):
+    if _holds_reservation(moment, step):
         _keep_reservations(moment, step)
         return
+    if moment.now_s < step.search_s or moment.searches_left <= 0:
+        return
+    moment.searches_left -= 1
+    step.search_s = moment.now_s + SEARCH_GAP_S
     chosen = None
-    if rank[0] is Tier.IN_TIME:
+    if rank[0] is Tier.IN_TIME and moment.evictions_left > 0:
         chosen = choose_evictions(
             step, candidates, moment.free, min(missing, allowance), moment.now_s
         )
--- a/caroblead/dispatch/planning_test.py
+++ b/caroblead/dispatch/planning_test.py
@@ -5,8 +5,9 @@
 
 from ..core.resource import NOTHING, Resources, add, fits
 from ..jobs.data import AdviceTerms, Job, JobQueue, JobSpec, Progress, StepSpec
-from .fleet import Fleet, put_vm
-from .interface import ListedVm, TeamLimits
+from . import planning
+from .fleet import Fleet, Run, RunPhase, book_run, put_vm
+from .interface import ListedVm, TaskName, TeamLimits
 from .planning import plan_starts
 from .work import is_step_ready, open_due_occurrences, open_job
 
@@ -109,3 +110,39 @@
 def test_step_waits_for_the_steps_before_it():
     first, second = StepSpec(1, Resources(1, 1)), StepSpec(1, Resources(1, 1), after=(0,))
     assert [step.key.step for step in make_steps(first, second)] == [0]
+
+
+def make_backlog(count):
+    """Returns a full fleet and a backlog of urgent steps for which room would have to be made."""
+    fleet = make_fleet(4)
+    for row in fleet.rows.values():
+        need = Resources(3000, 100)
+        name = TaskName(row.name, 0, 0, 0)
+        run = Run(name, 1, row, "t", need, RunPhase.RUNNING, priority=9, evictable=False)
+        book_run(fleet, run)
+    steps = []
+    for number in range(count):
+        steps += make_steps(StepSpec(1, Resources(2000, 100), 1.0), name=f"j{number:03}")
+    return fleet, steps
+
+
+def test_long_backlog_searches_for_room_bit_by_bit(monkeypatch):
+    searched = []
+
+    def note(step, candidates, free, missing, now_s):
+        searched.append(step.key.job)
+
+    monkeypatch.setattr(planning, "choose_evictions", note)
+    fleet, steps = make_backlog(50)
+    most = planning.MAX_SEARCHES_PER_TICK
+    for number in range(1, 8):
+        plan(steps, fleet)
+        # Each tick goes on where the last one stopped, and nobody searches twice in a row.
+        assert len(searched) == len(set(searched)) == min(50, number * most)
+
+
+def test_backlog_without_room_does_not_hide_a_small_step_that_fits():
+    fleet, steps = make_backlog(50)
+    small = make_steps(StepSpec(1, Resources(500, 100), 1.0), name="z")
+    placements = plan(steps + small, fleet).placements
+    assert [placement.step.key.job for placement in placements] == ["z"]
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -22,6 +22,8 @@
 )
 
 TICK_GAP_S = 0.01
+# A tick over a long backlog is followed by so many times its length for everything else.
+TICK_REST = 1.5
 # Nothing new is decided while the log has not answered for this long: it could not be carried out.
 MAX_RECORD_DELAY_S = 0.4
 # A question to the advice service that failed is put again after this long.
@@ -35,8 +37,9 @@
     while True:
         await state.wake.wait()
         state.wake.clear()
+        began_s = get_elapsed_s()
         run_tick(state)
-        await asyncio.sleep(TICK_GAP_S)
+        await asyncio.sleep(max(TICK_GAP_S, TICK_REST * (get_elapsed_s() - began_s)))
 
 
 def run_tick(state: TermState):
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -26,7 +26,10 @@
 
 @dataclass(slots=True, eq=False)
 class StepWork:
-    """One step of one occurrence with its tasks."""
+    """One step of one occurrence with its tasks.
+
+    From ``search_s`` on, room may be looked for that has to be made first.
+    """
 
     key: StepKey
     spec: StepSpec
@@ -36,6 +39,7 @@
     active: dict[int, list[Run]] = field(default_factory=dict)
     advice: StepAdvice = field(default_factory=StepAdvice)
     last_failed_run: int = 0
+    search_s: float = 0.0
 
     def name_task(self, index: int) -> TaskName:
         """Returns the name of one of the step's tasks."""
