Pace filling work beside work that serves users

Cause: a step may take the processor that others leave, and nothing kept it from disturbing tasks with a latency objective on the same VM; an installation with both kinds would have seen the objective missed for as long as they ran side by side.

A VM's lists carry the response times of its serving runs. Coming near the objective halves the pace of the filling runs beside them, missing it stops them, and calm looks raise it step by step. A new leader tells inherited runs their pace. Filling steps prefer VMs that serve nobody.

Ruled out: keeping both kinds apart by placement alone, for then filling work never starts where every VM serves users.

Before and after, in virtual time with filling work far beyond what two VMs bear and the leader killed half-way: objective missed for over 4 s on end without the mechanism, less than 4 s with it, and all 16 filling tasks done. Lines about starts now also say whether the job is surplus and how long it has until it is due.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -19,6 +19,10 @@
 SILENT_AFTER_S = 1.3
 
 
+# The pace of a run that works undisturbed, in percent.
+FULL_PACE = 100
+
+
 class RunPhase(enum.StrEnum):
     """What is known of a run.
 
@@ -41,7 +45,12 @@
     no longer matters, such as after a cancellation. An ``evictable`` run may be stopped for more
     urgent work, and one that ``saves`` goes on from its last checkpoint then. A ``watched`` run
     should show progress: ``percent`` of its work was done at ``moved_s``. A run of a former term
-    has no ``started_s``.
+    has no ``started_s``. ``need`` is the room that it takes of its VM and ``charge`` what counts
+    for its team, which is the same unless it says more.
+
+    A run with a latency objective has a ``target_ms``. One that ``fills`` what the others leave of
+    a VM works at ``pace`` percent of its speed; nothing is known of the pace of a run of a former
+    term.
     """
 
     task: TaskName
@@ -65,6 +74,14 @@
     priority: int = 0
     evictable: bool = False
     saves: bool = False
+    target_ms: int = 0
+    fills: bool = False
+    pace: int | None = FULL_PACE
+    charge: Resources | None = None
+
+    def get_charge(self) -> Resources:
+        """Returns what counts for the team."""
+        return self.need if self.charge is None else self.charge
 
 
 @dataclass(slots=True, eq=False)
@@ -72,7 +89,8 @@
     """A VM with its lease.
 
     ``clock_ms`` was read from the VM by the time ``clock_at_s``; ``deadline_ms`` is the latest end
-    of a lease ever given to this incarnation, on the VM's own clock.
+    of a lease ever given to this incarnation, on the VM's own clock. ``fill_pace`` is the pace for
+    runs that fill, raised after ``calm_looks`` without harm.
     """
 
     name: str
@@ -90,6 +108,8 @@
     strangers: int = 0
     avoid_until_s: float = 0.0
     reset_s: float = 0.0
+    fill_pace: int = FULL_PACE
+    calm_looks: int = 0
     failed_jobs: set[str] = field(default_factory=set)
 
     def make_target(self) -> Target:
@@ -136,7 +156,7 @@
     row = run.vm
     row.runs[run.task, run.number] = run
     row.free = subtract(row.free, run.need)
-    fleet.used[run.team] = add(fleet.used.get(run.team, NOTHING), run.need)
+    fleet.used[run.team] = add(fleet.used.get(run.team, NOTHING), run.get_charge())
 
 
 def release_run(fleet: Fleet, run: Run) -> bool:
@@ -145,7 +165,7 @@
     if row.runs.pop((run.task, run.number), None) is None:
         return False
     row.free = add(row.free, run.need)
-    fleet.used[run.team] = subtract(fleet.used[run.team], run.need)
+    fleet.used[run.team] = subtract(fleet.used[run.team], run.get_charge())
     return True
 
 
@@ -207,4 +227,5 @@
     row.clock_at_s = row.heard_s = 0.0
     row.answered = False
     row.reset_s = now_s
+    row.fill_pace, row.calm_looks = FULL_PACE, 0
     row.failed_jobs.clear()
--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -107,12 +107,17 @@
 
 @dataclass(slots=True, frozen=True)
 class RunningTask:
-    """A run as its VM lists it; ``percent`` of its work may be done."""
+    """A run as its VM lists it; ``percent`` of its work may be done.
+
+    ``response_ms`` is the tail of the response times of a task with a latency objective, over the
+    last half second; for any other task it says nothing.
+    """
 
     task: TaskName
     number: int
     checkpoint: str
     percent: float
+    response_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -204,6 +209,11 @@
     async def stop(self, target: Target, task: TaskName, number: int, term: int) -> StartOutcome:
         """Stops a run and keeps it from starting later."""
 
+    async def pace(
+        self, target: Target, task: TaskName, number: int, percent: int, term: int
+    ) -> StartOutcome:
+        """Lets a run work at this share of its speed from now on."""
+
     async def hold(
         self, target: Target, term: int, seen: int, deadline_ms: int | None, wait_s: float
     ) -> HoldAnswer | Refused | NoAnswer:
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -140,6 +140,7 @@
         task = step.name_task(record.task)
         need = get_booked_need(step.spec)
         run = Run(task, record.number, row, step.work.job.team, need, RunPhase.INHERITED)
+        run.charge, run.pace = step.spec.need, None
         book_run(self.fleet, run)
         add_run(step, describe_run(step, run))
         if not row.incarnation:
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -125,6 +125,22 @@
                 )
             await asyncio.sleep(STOP_RETRY_S)
 
+    def pace(self, run: Run, percent: int):
+        """Lets a run work at a share of its speed; without an answer the next look asks again."""
+        run.pace = percent
+        self.spawn(self._pace(run, percent))
+
+    async def _pace(self, run: Run, percent: int):
+        row = run.vm
+        outcome = await self.vms.pace(row.make_target(), run.task, run.number, percent, self.term)
+        if isinstance(outcome, Started):
+            log_routine("task:paced", task=str(run.task), run=run.number, percent=percent)
+            return
+        run.pace = None
+        log("task:not_paced", task=str(run.task), run=run.number, vm=row.name, percent=percent)
+        if isinstance(outcome, Refused) and outcome.reason is StartRefusal.FENCED:
+            self.reports.on_fenced(row.name)
+
     async def stop_stranger(self, row, running):
         """Stops a run that a VM lists and the log doesn't know."""
         log("task:stranger", task=str(running.task), run=running.number, vm=row.name)
--- /dev/null
+++ b/caroblead/dispatch/pacing_test.py
@@ -0,0 +1,122 @@
+"""Filling work slows down for work that serves users, and speeds up again."""
+
+import asyncio
+
+from ..core.resource import Resources
+from ..jobs.data import StepSpec
+from ..standin.cluster import (
+    find_leader,
+    kill_node,
+    make_spec,
+    play,
+    start_site,
+    submit,
+)
+from .fleet import FULL_PACE, Run, RunPhase, VmRow
+from .interface import HoldAnswer, ListedVm, RunningTask, TaskName
+from .pacing import list_to_pace, update_pace
+
+TARGET_MS = 100
+# The longest time for which a task may miss its latency objective because of others.
+HARM_S = 4.0
+SERVING = StepSpec(2, Resources(1000, 1024), endless=True, max_per_vm=1, target_ms=TARGET_MS)
+FILLING = StepSpec(4, Resources(2000, 512), 1.0, fills=True)
+
+
+def make_row(response_ms):
+    """Returns a VM with one serving and one filling run, and its answer to a look."""
+    listed = ListedVm("v", 1, "s", "a", "z", "r", (), Resources(4000, 8192), False)
+    row = VmRow("v", listed, 1, listed.capacity)
+    serving = Run(TaskName("s", 0, 0, 0), 1, row, "t", SERVING.need, RunPhase.RUNNING)
+    serving.target_ms = TARGET_MS
+    filling = Run(TaskName("f", 0, 0, 0), 1, row, "t", FILLING.need, RunPhase.RUNNING, fills=True)
+    for run in (serving, filling):
+        row.runs[run.task, run.number] = run
+    running = [RunningTask(serving.task, 1, "", 100.0, response_ms)]
+    return row, HoldAnswer(1, 1, running, [])
+
+
+def test_filling_work_stops_when_the_objective_is_missed_and_slows_when_it_is_close():
+    row, answer = make_row(TARGET_MS * 1.2)
+    update_pace(row, answer)
+    assert row.fill_pace == 0
+    assert [run.task.job for run in list_to_pace(row)] == ["f"]
+    row, answer = make_row(TARGET_MS * 0.9)
+    update_pace(row, answer)
+    assert row.fill_pace == FULL_PACE // 2
+
+
+def test_filling_work_speeds_up_step_by_step_when_all_is_calm():
+    row, answer = make_row(10)
+    row.fill_pace = 0
+    paces = []
+    for _ in range(14):
+        update_pace(row, answer)
+        paces.append(row.fill_pace)
+    assert paces == sorted(paces)
+    assert paces[0] == 0 and paces[-1] == FULL_PACE
+    assert len(set(paces)) > 3
+
+
+def test_run_of_a_former_term_is_told_its_pace():
+    row, answer = make_row(10)
+    filling = row.runs[TaskName("f", 0, 0, 0), 1]
+    filling.pace = None
+    update_pace(row, answer)
+    assert list_to_pace(row) == [filling]
+
+
+def find_harm(site, since):
+    """Returns for how long each serving run has missed its objective on end, in seconds."""
+    now_s = asyncio.get_running_loop().time()
+    for vm in site.park.vms.values():
+        for task, going in vm.going.items():
+            if site.park.measure_response(vm, going) > TARGET_MS:
+                since.setdefault(task, now_s)
+            else:
+                since.pop(task, None)
+    return [now_s - began_s for began_s in since.values()]
+
+
+async def serve_beside_filling_work():
+    """Fills VMs that serve users far beyond what those can bear; the leader dies half-way."""
+    site = await start_site(vm_count=2)
+    await submit(site, "n0", make_spec(SERVING, seconds=1e6, response_ms=40))
+    await asyncio.sleep(1)
+    for _ in range(4):
+        await submit(site, "n1", make_spec(FILLING, seconds=12, disturbs_ms=25))
+    since, harm = {}, 0.0
+    for step in range(300):
+        await asyncio.sleep(0.1)
+        if step == 120:
+            await kill_node(site, find_leader(site))
+        harm = max([harm, *find_harm(site, since)])
+    done = sum(line.kind == "done" for line in site.park.history)
+    return site, harm, done
+
+
+def test_no_objective_is_missed_for_long_because_of_filling_work():
+    results = []
+
+    async def scenario():
+        site, *figures = await serve_beside_filling_work()
+        results.extend(figures)
+        return site
+
+    play(scenario)
+    harm, done = results
+    assert harm < HARM_S
+    assert done == 16
+
+
+def test_without_pacing_the_objective_is_missed_for_long(monkeypatch):
+    monkeypatch.setattr("caroblead.dispatch.watch.update_pace", lambda row, answer: None)
+    results = []
+
+    async def scenario():
+        site, *figures = await serve_beside_filling_work()
+        results.extend(figures)
+        return site
+
+    play(scenario)
+    assert results[0] > HARM_S
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -11,6 +11,7 @@
 from .evict import choose_evictions, choose_rows_to_empty, count_fit
 from .fleet import Fleet, Reservation, Run, VmRow, is_usable
 from .interface import TeamLimits
+from .pacing import score_neighbours
 from .rank import Tier, rank_step
 from .work import StepWork, get_booked_need
 
@@ -219,9 +220,8 @@
 
 def _make_room(moment: Moment, step: StepWork, rank: tuple, candidates, team, missing: int):
     """Stops less urgent work for a step without room, or keeps VMs for a gang until they empty."""
-    need = get_booked_need(step.spec)
     used = moment.used.get(step.work.job.team, NOTHING)
-    allowance = count_allowance(team, used, need)
+    allowance = count_allowance(team, used, step.spec.need)
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
     if _holds_reservation(moment, step):
@@ -269,13 +269,14 @@
     team = step.work.job.team
     for _, row in chosen:
         moment.free[row.name] = subtract(moment.free[row.name], need)
-        moment.used[team] = add(moment.used.get(team, NOTHING), need)
+        moment.used[team] = add(moment.used.get(team, NOTHING), step.spec.need)
 
 
 def _place_step(step: StepWork, candidates, moment: Moment, team) -> list[tuple[int, VmRow]]:
     need = get_booked_need(step.spec)
     indexes = sorted(step.waiting)
-    allowance = count_allowance(team, moment.used.get(step.work.job.team, NOTHING), need)
+    used = moment.used.get(step.work.job.team, NOTHING)
+    allowance = count_allowance(team, used, step.spec.need)
     if step.spec.gang:
         if len(indexes) < step.spec.count or allowance < len(indexes):
             return []
@@ -326,6 +327,8 @@
         score = _score(step, row, free, need)
         if row.name in moment.slow:
             score += SLOW_PENALTY
+        if step.spec.fills:
+            score += score_neighbours(row)
         held = moment.fleet.reservations.get(row.name)
         if held is not None and held.step != step.key:
             score += RESERVED_PENALTY
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -68,6 +68,7 @@
 
 def _carry_out(state: TermState, placements: list[Placement], now_s: float):
     numbers: dict[StepKey, int] = {}
+    wall_s = get_wall_s()
     for placement in placements:
         step, row = placement.step, placement.vm
         # The members of a gang share one number.
@@ -84,6 +85,7 @@
             ticket=placement.ticket,
             ticket_until_s=_get_ticket_end(step),
             started_s=now_s,
+            charge=step.spec.need,
             checkpoint=step.part.checkpoints.get(placement.index, ""),
         )
         book_run(state.fleet, run)
@@ -95,7 +97,9 @@
             task=str(run.task),
             run=run.number,
             vm=row.name,
-            waited_s=round(get_wall_s() - step.work.job.accepted_s, 3),
+            waited_s=round(wall_s - step.work.job.accepted_s, 3),
+            due_in_s=round(step.work.due_s - wall_s, 3),
+            surplus=step.work.surplus,
             heard_s=round(now_s - row.heard_s, 3),
         )
         payload = step.work.job.spec.payload
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -16,6 +16,7 @@
 from .health import take_progress
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
 from .orders import OrderDesk
+from .pacing import list_to_pace, update_pace
 from .report import Reports
 
 # A renewal waits this long for an end before it comes back by itself.
@@ -105,6 +106,7 @@
             seen = max(seen, ended.serial)
             self.reports.on_end(row, ended)
         self._compare(answer, sent_s)
+        self._set_pace(answer)
         if first:
             self.reports.on_room()
         if seen > row.seen:
@@ -112,6 +114,14 @@
                 row.seen = max(row.seen, seen)
                 await asyncio.sleep(GATHER_S)
 
+    def _set_pace(self, answer: HoldAnswer):
+        row, before = self.row, self.row.fill_pace
+        update_pace(row, answer)
+        if row.fill_pace != before:
+            log("vm:fill_pace", vm=row.name, percent=row.fill_pace, before=before)
+        for run in list_to_pace(row):
+            self.desk.pace(run, row.fill_pace)
+
     def _compare(self, answer: HoldAnswer, sent_s: float):
         row = self.row
         listed = {(item.task, item.number): item for item in answer.running}
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -154,6 +154,7 @@
     run.saves = spec.checkpoints
     run.estimate_s = spec.estimate_s
     run.watched = not (spec.endless or spec.fills)
+    run.target_ms, run.fills = spec.target_ms, spec.fills
     run.evictable = not (spec.gang or spec.endless or spec.miss_tolerance)
     return run
 
--- a/caroblead/platform/adapter_test.py
+++ b/caroblead/platform/adapter_test.py
@@ -105,6 +105,8 @@
         assert [(end.task, end.reason) for end in answer.ended] == [(TASK, EndReason.DONE)]
         assert await vms.start(target, order) == Refused(StartRefusal.SUPERSEDED)
         assert await vms.stop(target, TASK, 1, 2) == Refused(StartRefusal.FENCED)
+        assert isinstance(await vms.pace(target, TASK, 1, 50, 3), Started)
+        assert await vms.pace(target, TASK, 1, 50, 2) == Refused(StartRefusal.FENCED)
         assert await vms.hold(target, 2, 0, None, 0.0) == Refused(StartRefusal.FENCED)
         server.status = 421
         assert await vms.start(target, order) == Refused(StartRefusal.OTHER_INCARNATION)
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -54,6 +54,18 @@
         message = {"task": str(task), "runId": number, "fencingToken": term}
         return await self._order(target, "run-stop", message)
 
+    async def pace(
+        self, target: Target, task: TaskName, number: int, percent: int, term: int
+    ) -> StartOutcome:
+        """Lets a run work at a share of its speed."""
+        message = {
+            "task": str(task),
+            "runId": number,
+            "percentage": percent,
+            "fencingToken": term,
+        }
+        return await self._order(target, "pace", message)
+
     async def hold(
         self, target: Target, term: int, seen: int, deadline_ms: int | None, wait_s: float
     ) -> HoldAnswer | Refused | NoAnswer:
@@ -108,11 +120,15 @@
     return TaskName(job, int(occurrence), int(step), int(index))
 
 
+def _read_running(row: list) -> RunningTask:
+    # The fifth entry is a tail in milliseconds for a task with a latency objective, and processor
+    # use for any other; only the reader's own knowledge of the task tells which.
+    measured = float(row[4] or 0.0) if len(row) > 4 else 0.0
+    return RunningTask(read_task_name(row[0]), int(row[1]), row[2] or "", float(row[3]), measured)
+
+
 def _read_hold(raw: dict) -> HoldAnswer:
-    running = [
-        RunningTask(read_task_name(row[0]), int(row[1]), row[2] or "", float(row[3]))
-        for row in raw["running"]
-    ]
+    running = [_read_running(row) for row in raw["running"]]
     ended = [
         EndedTask(int(row[0]), read_task_name(row[1]), int(row[2]), EndReason(row[3]), row[4] or "")
         for row in raw["finished"]
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -77,7 +77,13 @@
         spec = site_jobs[task.job]
         fields = make_work(spec)
         fails = number <= fields.get("failing_runs", 0)
-        return WorkPlan(fields.get("seconds", 0.5), spec.steps[task.step].need, fails)
+        return WorkPlan(
+            fields.get("seconds", 0.5),
+            spec.steps[task.step].need,
+            fails,
+            fields.get("response_ms", 0.0),
+            fields.get("disturbs_ms", 0.0),
+        )
 
     return plan_work
 
--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -132,6 +132,13 @@
         vm = self._get_vm(request)
         return _write_order(self.park.stop(vm, task, raw["runId"], raw["fencingToken"]))
 
+    async def _answer_pace(self, request, body: bytes) -> web.Response:
+        raw = orjson.loads(body)
+        task, number = _read_task(raw["task"]), raw["runId"]
+        vm = self._get_vm(request)
+        term = raw["fencingToken"]
+        return _write_order(self.park.pace(vm, task, number, raw["percentage"], term))
+
     async def _answer_hold(self, request, body: bytes) -> web.Response:
         raw = orjson.loads(body)
         answer = await self.park.hold(
@@ -143,7 +150,9 @@
         )
         if not isinstance(answer, HoldAnswer):
             return _write_order(answer)
-        running = [[str(r.task), r.number, r.checkpoint, r.percent] for r in answer.running]
+        running = [
+            [str(r.task), r.number, r.checkpoint, r.percent, r.response_ms] for r in answer.running
+        ]
         ended = [[e.serial, str(e.task), e.number, str(e.reason), ""] for e in answer.ended]
         return _write(
             200,
--- a/caroblead/standin/taskvm.py
+++ b/caroblead/standin/taskvm.py
@@ -34,11 +34,17 @@
 
 @dataclass(slots=True, frozen=True)
 class WorkPlan:
-    """How a task behaves: how long it takes, what it needs, and whether this run of it fails."""
+    """How a task behaves: how long it takes, what it needs, and whether this run of it fails.
+
+    A task that serves users answers them within ``response_ms`` when it is alone; another one
+    prolongs that by ``disturbs_ms`` on its VM while it works at full pace.
+    """
 
     seconds: float
     need: Resources
     fails: bool = False
+    response_ms: float = 0.0
+    disturbs_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,6 +72,7 @@
     began_s: float
     timer: asyncio.TimerHandle
     stopping: bool = False
+    percent: int = 100
 
 
 @dataclass(slots=True, eq=False)
@@ -174,6 +181,26 @@
             self.loop.call_later(STOP_S, self._end, vm, task, EndReason.STOPPED)
         return Started(self.get_clock_ms(vm))
 
+    def pace(
+        self, vm: TaskVm, task: TaskName, number: int, percent: int, term: int
+    ) -> Started | Refused:
+        """Carries out a change of pace."""
+        if term < vm.term:
+            self.fenced_orders += 1
+            return Refused(StartRefusal.FENCED)
+        vm.term = term
+        going = vm.going.get(task)
+        if going is not None and going.number == number:
+            going.percent = percent
+        return Started(self.get_clock_ms(vm))
+
+    def measure_response(self, vm: TaskVm, going: Going) -> float:
+        """Returns the response time of a serving run among what runs beside it."""
+        if not going.plan.response_ms:
+            return 0.0
+        others = sum(item.plan.disturbs_ms * item.percent / 100 for item in vm.going.values())
+        return going.plan.response_ms + others
+
     async def hold(self, vm: TaskVm, term, seen, deadline_ms, wait_s) -> HoldAnswer | Refused:
         """Carries out a renewal."""
         if term < vm.term:
@@ -189,7 +216,13 @@
             except TimeoutError:
                 pass
         running = [
-            RunningTask(task, going.number, "", self._get_percent(going))
+            RunningTask(
+                task,
+                going.number,
+                "",
+                self._get_percent(going),
+                self.measure_response(vm, going),
+            )
             for task, going in vm.going.items()
         ]
         return HoldAnswer(self.get_clock_ms(vm), vm.incarnation, running, list(vm.ended))
@@ -239,6 +272,10 @@
         """Stops a run."""
         return await self._order(target, lambda vm: self.park.stop(vm, task, number, term))
 
+    async def pace(self, target: Target, task: TaskName, number: int, percent: int, term: int):
+        """Changes the pace of a run."""
+        return await self._order(target, lambda vm: self.park.pace(vm, task, number, percent, term))
+
     async def hold(self, target: Target, term: int, seen: int, deadline_ms, wait_s: float):
         """Renews a lease."""
         vm = await self._reach(target)
