Soak the real node program under faults from outside

Real processes against the platform's stand-in, with a proxy on each node's way to the store and on the way to each VM. Faults are drawn from a seed and overlap: kills of one or all, planned stops, pauses, connections delayed, reset, silenced or without answers, VMs that crash, a store that refuses or forgets. Callers keep their connections and retry elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test bench control faults lint format wire clean
+.PHONY: demo test bench control faults soak lint format wire clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -28,6 +28,9 @@
 	$(BIN)/python -m caroblead.bench.hop
 	$(BIN)/python -m caroblead.bench.control
 
+soak: $(VENV)/ready
+	$(BIN)/python -m caroblead.bench.soak --seeds 50
+
 lint: $(VENV)/ready
 	$(BIN)/black --check --quiet caroblead
 	$(BIN)/ruff check --quiet caroblead
