Bear that a peer vanishes from the ledger while it is asked whether it can lead

A leader that stops asks its possible heirs one after the other by their names, and looks each up when its turn comes; a node that had left by then, or a ledger that was read anew, raised an error and ended the planned stop without handing over.

Ruled out: the same in the advice spreader, which looks nodes up at once. Before: the new test fails with KeyError; after: it passes.

--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -261,9 +261,10 @@
 
     async def _find_heir(self, names: list[str]) -> str:
         """Returns the first of some nodes that answers, or nothing."""
-        for name in names[:CANDIDATES]:
-            if await self.peers.is_alive(self.ledger.nodes[name]):
-                return name
+        # The ledger may change while a node is asked.
+        for record in [self.ledger.nodes[name] for name in names[:CANDIDATES]]:
+            if await self.peers.is_alive(record):
+                return record.node
         return ""
 
     async def _yield_to_stronger(self):
--- a/caroblead/node/program_test.py
+++ b/caroblead/node/program_test.py
@@ -1,6 +1,7 @@
 """What several nodes do together, under failure, judged by the history of the VMs."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -138,6 +139,26 @@
     judge(play(scenario))
 
 
+def test_leader_that_stops_bears_that_its_peers_vanish_meanwhile():
+    async def scenario():
+        site = await start_site()
+        name = find_leader(site)
+        node = site.nodes[name]
+
+        async def vanish(record):
+            node.ledger.nodes.clear()
+            return False
+
+        node.peers.is_alive = vanish
+        await node.drain(SimpleNamespace(open_calls=0, closing=False))
+        await kill_node(site, name)
+        await submit_stream(site, make_spec(one_step()), 4, 0.1)
+        await asyncio.sleep(4)
+        return site
+
+    judge(play(scenario))
+
+
 def test_all_nodes_killed_at_once_go_on_from_the_log():
     async def scenario():
         site = await start_site()
