Let nodes that do not lead read less, and serve before the ledger is read

Cause: a node at rest made up to 14 calls a second to the store and woke 20 times a second to check whether it should stand for election, each time through a task. A node that started read every newest record before it reported itself as ready; after a common loss all nodes do so at once on slow links, though storing a job needs none of them.

Change: the check costs no task; a node that isn't a candidate pauses 0.8 s between reads (it asks the leader for the newest state of a job); readiness depends on the configuration alone; a question about a job waits for the ledger or is answered with 503, never with 'no such job' or a count of nothing. A node that started last didn't learn from its own record that it is a candidate: mended, found by test_weak_leader_hands_over_to_a_strong_node.

--- a/caroblead/core/timer.py
+++ b/caroblead/core/timer.py
@@ -50,7 +50,8 @@
     def subscribe(self, interval_s: float, callback: Callable, immediately: bool = False) -> Timer:
         """Calls a function or coroutine function every ``interval_s`` seconds.
 
-        A call is skipped when the coroutine of the previous one is still running. With
+        A coroutine that the function returns is run as a task, and a call is skipped while the task
+        of the previous one is still running. With
         ``immediately`` the first call is made at once instead of after an interval.
         """
         timer = Timer(callback, interval_s)
@@ -69,10 +70,9 @@
             return
         idle = timer.task is None or timer.task.done()
         if idle and not self.is_frozen():
-            if asyncio.iscoroutinefunction(timer.callback):
-                timer.task = self.loop.create_task(await_and_log_errors(timer.callback()))
-            else:
-                call_and_log_errors(timer.callback)
+            result = call_and_log_errors(timer.callback)
+            if asyncio.iscoroutine(result):
+                timer.task = self.loop.create_task(await_and_log_errors(result))
         self._schedule(timer, self._add_jitter(timer.interval_s))
 
     def unsubscribe(self, timer: Timer):
@@ -92,11 +92,15 @@
 
 
 def call_and_log_errors(callback: Callable):
-    """Calls a function and logs any exception, so that an error does not end a timer."""
+    """Calls a function and logs any exception, so that an error does not end a timer.
+
+    Returns what the function returns, or ``None`` after an exception.
+    """
     try:
-        callback()
+        return callback()
     except Exception:
         eliot.write_traceback()
+        return None
 
 
 async def wait_for_event(event: asyncio.Event, timeout_s: float) -> bool:
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -34,9 +34,10 @@
 LEDGER_WAIT_S = 0.2
 LEDGER_PAUSE_S = 0.1
 # Only this many nodes, the first candidates for the leadership, read the ledger often. The other
-# nodes read it less often and stand for election later, weak ones last.
+# nodes read it less often and stand for election later, weak ones last. They need a job's newest
+# state only when a caller asks for it, and then ask the leader.
 CANDIDATE_COUNT = 3
-NON_CANDIDATE_PAUSE_S = 0.3
+NON_CANDIDATE_PAUSE_S = 0.8
 NON_CANDIDATE_DELAY_S = 0.3
 WEAK_NODE_DELAY_S = 0.7
 # How often a weak leader looks for a strong node to take over, and how long it leads before that.
@@ -48,8 +49,8 @@
 REGISTRY_PAUSE_S = 1.5
 LEADER_REGISTRY_PAUSE_S = 0.25
 ANNOUNCE_TIMEOUT_S = 3.0
-# A node whose last read of its logs is older than this reports itself as not ready to the load
-# balancer.
+# A node whose last read of the configuration is older than this reports itself as not ready to the
+# load balancer: it has no connection to the store.
 MAX_READY_AGE_S = 1.2
 # Fractions of the grace period of a planned stop: when the load balancer should have noticed the
 # drain, and until when open calls may finish.
@@ -153,16 +154,14 @@
             log("node:not_announced")
 
     def is_ready(self) -> bool:
-        """Returns whether the load balancer should route callers to this node."""
-        if (
-            self.draining
-            or self.configuration_view.current is None
-            or self.ledger_tail.offset is None
-        ):
+        """Returns whether the load balancer should route callers to this node.
+
+        A node that has just started takes jobs as soon as it knows the configuration, since storing
+        a job needs no knowledge of the others. Questions about a job wait for the ledger.
+        """
+        if self.draining or self.configuration_view.current is None:
             return False
-        return (
-            max(self.configuration_tail.get_age_s(), self.ledger_tail.get_age_s()) < MAX_READY_AGE_S
-        )
+        return self.configuration_tail.get_age_s() < MAX_READY_AGE_S
 
     # The ledger.
 
@@ -200,11 +199,9 @@
                 # The leader's process has restarted and no longer knows about its term.
                 log("election:leader_restarted", term=term.number, leader=name)
                 self.election.handle_resignation()
-        if name == self.settings.node:
-            return
         if record is None:
             self.advice_queue.remove_adviser(name)
-        else:
+        elif name != self.settings.node:
             self.advice_queue.put_adviser(self.peers.make_adviser(record))
         self._update_read_interval()
 
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -27,8 +27,8 @@
 LOOKUP_TIMEOUT_S = 1.0
 # A ledger that is older than this can't prove that a job doesn't exist.
 MAX_LEDGER_AGE_S = 2.5
-# A node whose last read of the log is older than this, and whose appends fail, rejects jobs without
-# trying to store them.
+# A node whose last read of the configuration, which is read all the time, is older than this, and
+# whose appends fail, rejects jobs without trying to store them.
 LOG_LOST_AGE_S = 1.0
 
 
@@ -104,11 +104,11 @@
     def admit(self, host: str, path: str, key: str | None) -> Admission | Rejected:
         """Returns the queue of a request and the team of its key, or why it is rejected."""
         configuration = self.configuration_view.current
-        if configuration is None or self.ledger_tail.offset is None:
+        if configuration is None:
             return self._reject(
                 Reason.NO_CONFIG,
                 Step.ADMIT,
-                "the node has not read its configuration or job log yet",
+                "the node has not read its configuration yet",
                 RETRY_AFTER_S,
             )
         queue = find_queue(configuration, host, path)
@@ -138,7 +138,7 @@
         if find_state(ledger, job_id) is not None:
             self._log_answer("job:accepted_before", job_id, admission)
             return Accepted(known_before=True)
-        if self.appender.lost and self.ledger_tail.get_age_s() > LOG_LOST_AGE_S:
+        if self.appender.lost and self.configuration_tail.get_age_s() > LOG_LOST_AGE_S:
             log_routine("job:refused", job=job_id, queue=admission.queue.name, reason="log_lost")
             return Rejected(
                 self._make_fault(
@@ -223,9 +223,13 @@
             self._make_fault(Reason.LOG_DOWN, Step.RECORD, "the job log did not answer in time")
         )
 
-    async def count(self, queue: JobQueue) -> Counted:
+    async def count(self, queue: JobQueue) -> Counted | Rejected:
         """Returns the number of jobs in a queue of which no task has started."""
         await self.ledger_tail.refresh()
+        if self.ledger_tail.offset is None and not await self.ledger_tail.catch_up(
+            LOOKUP_TIMEOUT_S
+        ):
+            return self._reject_unread_log()
         return Counted(count_waiting(self.get_ledger(), queue.name))
 
     async def _look_up(self, job_id: str) -> Rejected | None:
@@ -233,9 +237,13 @@
         fresh = await self.ledger_tail.catch_up(LOOKUP_TIMEOUT_S)
         if find_state(self.get_ledger(), job_id) is not None:
             return None
-        if fresh or self.ledger_tail.get_age_s() < MAX_LEDGER_AGE_S:
+        was_read = self.ledger_tail.offset is not None
+        if fresh or (was_read and self.ledger_tail.get_age_s() < MAX_LEDGER_AGE_S):
             log_routine("job:unknown", job=job_id, fresh=fresh)
             return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
+        return self._reject_unread_log()
+
+    def _reject_unread_log(self) -> Rejected:
         return self._reject(Reason.LOG_DOWN, Step.ROUTE, "the job log can't be read", RETRY_AFTER_S)
 
     def _make_fault(self, reason: Reason, step: Step, detail: str, retry_s: float = 0.0) -> Fault:
