Survive malformed messages and unexpected errors in every loop

Looked for: one malformed message or unexpected error that takes a process down. Found: run lists of a VM with a short row or a task name of another type ended the watch of that VM for the term; any unexpected error ended the tick, the reading of a log or the appender for good while the process went on answering; a caller's job with 'after': 5 or an endless number was answered with 500; a record cut short at the end of a read was taken as whole.

--- a/caroblead/core/timer.py
+++ b/caroblead/core/timer.py
@@ -91,13 +91,13 @@
             self.unsubscribe(timer)
 
 
-def call_and_log_errors(callback: Callable):
-    """Calls a function and logs any exception, so that an error does not end a timer.
+def call_and_log_errors(callback: Callable, *arguments):
+    """Calls a function and logs any exception, so that an error does not end a timer or a loop.
 
     Returns what the function returns, or ``None`` after an exception.
     """
     try:
-        return callback()
+        return callback(*arguments)
     except Exception:
         eliot.write_traceback()
         return None
--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -12,7 +12,7 @@
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log
 from ..core.outcome import LogError
-from ..core.timer import wait_for_event
+from ..core.timer import call_and_log_errors, wait_for_event
 from ..jobs.data import FINAL_STATES
 from ..jobs.ledger import HEARTBEAT_NAME, RESIGNATION_NAME
 from ..jobs.record import KeyedRecord, RecordKind, encode_progress, make_key
@@ -89,7 +89,7 @@
                 return
             self.append_started_s = None
             for callback in callbacks:
-                callback()
+                call_and_log_errors(callback)
 
     def _take_batch(self) -> tuple[list[KeyedRecord], list[Callable]]:
         now_s = get_wall_s()
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -4,7 +4,7 @@
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log, log_routine
-from ..core.timer import await_and_log_errors
+from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
 from .fleet import Fleet, Run, book_run
 from .health import is_slow
@@ -41,7 +41,7 @@
         await state.wake.wait()
         state.wake.clear()
         began_s = get_elapsed_s()
-        run_tick(state)
+        call_and_log_errors(run_tick, state)
         await asyncio.sleep(max(TICK_GAP_S, TICK_REST_FACTOR * (get_elapsed_s() - began_s)))
 
 
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -4,6 +4,7 @@
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
+from ..core.timer import await_and_log_errors
 from .fleet import (
     Fleet,
     Run,
@@ -53,16 +54,21 @@
         self.silent = False
 
     async def run(self):
-        """Polls the VM until it is cancelled."""
+        """Polls the VM until it is cancelled; an error in one poll doesn't end the others."""
         while True:
-            sent_s = get_elapsed_s()
-            answer = await self._hold()
-            if isinstance(answer, HoldAnswer):
-                await self._handle_lists(answer, sent_s)
-            else:
-                self._handle_failure(answer)
+            if not await await_and_log_errors(self._renew()):
                 await asyncio.sleep(RETRY_S)
 
+    async def _renew(self) -> bool:
+        """Polls the VM once; returns whether it answered with its lists."""
+        sent_s = get_elapsed_s()
+        answer = await self._hold()
+        if not isinstance(answer, HoldAnswer):
+            self._handle_failure(answer)
+            return False
+        await self._handle_lists(answer, sent_s)
+        return True
+
     async def poll_once(self):
         """Polls the VM at once, in parallel to a renewal that may be waiting there."""
         sent_s = get_elapsed_s()
--- a/caroblead/node/appender.py
+++ b/caroblead/node/appender.py
@@ -12,6 +12,7 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.outcome import LogError
+from ..core.timer import await_and_log_errors
 from ..dispatch.interface import KeyedLog
 from ..jobs.record import KeyedRecord
 
@@ -100,7 +101,11 @@
             while self.waiting:
                 batch = self.waiting[:MAX_BATCH_RECORDS]
                 del self.waiting[:MAX_BATCH_RECORDS]
-                await self._append(batch)
+                await await_and_log_errors(self._append(batch))
+                # After an unexpected error nobody knows whether the records were stored.
+                for entry in batch:
+                    if entry not in self.waiting:
+                        _resolve(entry, AppendResult.UNKNOWN)
 
     async def _append(self, batch: list[PendingRecord]):
         now_s = get_elapsed_s()
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -12,6 +12,7 @@
 from ..dispatch.term import LeaderDependencies
 from ..jobs.data import JobState
 from ..jobs.ledger import (
+    Change,
     HeartbeatReceived,
     LeaderResigned,
     Ledger,
@@ -173,11 +174,7 @@
             self._apply(record)
 
     def _apply(self, record: KeyedRecord):
-        try:
-            change = apply_record(self.ledger, record)
-        except (ValueError, KeyError, TypeError) as error:
-            log("ledger:unreadable", key=record.key, error=f"{type(error).__name__}: {error}")
-            return
+        change = apply_or_log(self.ledger, record)
         if record.kind == RecordKind.NODE:
             self._apply_node_record(record.name)
         if isinstance(change, HeartbeatReceived | ProgressRecorded):
@@ -359,3 +356,12 @@
             gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
             gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
         return write_node_metrics(self.metrics, gauges)
+
+
+def apply_or_log(ledger: Ledger, record: KeyedRecord) -> Change | None:
+    """Applies a record to the ledger and returns what changed; logs and skips a malformed one."""
+    try:
+        return apply_record(ledger, record)
+    except (ValueError, LookupError, TypeError, AttributeError) as error:
+        log("ledger:unreadable", key=record.key, error=f"{type(error).__name__}: {error}")
+        return None
--- a/caroblead/node/tail.py
+++ b/caroblead/node/tail.py
@@ -11,7 +11,7 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.outcome import LogError
-from ..core.timer import wait_for_event
+from ..core.timer import await_and_log_errors, wait_for_event
 from ..dispatch.interface import Batch, HistoryGoneError, KeyedLog
 
 RETRY_INTERVAL_S = 0.1
@@ -50,17 +50,23 @@
         self.answered = asyncio.Event()
 
     async def run(self):
-        """Reads until it is cancelled."""
+        """Reads until it is cancelled; an unexpected error in one read doesn't end the others."""
         while True:
-            try:
-                await self._read_once()
-            except HistoryGoneError as error:
-                log("log:history_gone", log=self.name, offset=self.offset, detail=str(error))
-                self.offset = None
-            except LogError as error:
-                self._mark_lost(error)
+            if not await await_and_log_errors(self._try_read()):
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def _try_read(self) -> bool:
+        """Reads once and returns whether the log answered."""
+        try:
+            await self._read_once()
+        except HistoryGoneError as error:
+            log("log:history_gone", log=self.name, offset=self.offset, detail=str(error))
+            self.offset = None
+        except LogError as error:
+            self._mark_lost(error)
+            return False
+        return True
+
     async def _read_once(self):
         sent_s = get_elapsed_s()
         if self.offset is None:
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -22,6 +22,7 @@
 HEX_DIGITS = frozenset("0123456789abcdef")
 # Applies to calls without a valid Deadline-Ms header.
 DEFAULT_TIME_BUDGET_S = 3.0
+MAX_TIME_BUDGET_S = 300.0
 STATUS_BY_REASON = {
     Reason.BAD_INPUT: 400,
     Reason.NO_KEY: 401,
@@ -139,9 +140,10 @@
 def _read_time_budget_s(request: web.BaseRequest) -> float:
     """Returns how long the caller waits for the response, in seconds."""
     try:
-        return max(0.0, float(request.headers.get("Deadline-Ms", "")) / 1000)
+        budget_s = float(request.headers.get("Deadline-Ms", "")) / 1000
     except ValueError:
         return DEFAULT_TIME_BUDGET_S
+    return budget_s if 0 <= budget_s <= MAX_TIME_BUDGET_S else DEFAULT_TIME_BUDGET_S
 
 
 def _make_response(outcome) -> web.Response:
--- a/caroblead/platform/jobs.py
+++ b/caroblead/platform/jobs.py
@@ -1,5 +1,7 @@
 """Decodes the jobs that callers submit and encodes the job states that they query."""
 
+import math
+
 import orjson
 
 from ..core.resource import Resources
@@ -48,8 +50,8 @@
     count = _read_int(raw, "count", f"{field_path}.count")
     if not 0 < count <= MAX_TASKS_PER_STEP:
         raise ValueError(f"{field_path}.count: must be a number from 1 to {MAX_TASKS_PER_STEP}")
-    after = tuple(raw.get("after") or ())
-    if any(not isinstance(item, int) or not 0 <= item < step_index for item in after):
+    after = raw.get("after") or []
+    if not isinstance(after, list) or not all(_is_earlier(item, step_index) for item in after):
         raise ValueError(f"{field_path}.after: must be a list of the numbers of earlier steps")
     return StepSpec(
         count=count,
@@ -59,7 +61,7 @@
             _read_int(raw, "gpu", f"{field_path}.gpu"),
         ),
         estimate_s=_read_int(raw, "estimatedMs", f"{field_path}.estimatedMs") / 1000,
-        after=after,
+        after=tuple(after),
         gang=bool(raw.get("gang", False)),
         same_rack=bool(raw.get("sameRack", False)),
         label=str(raw.get("requirements") or ""),
@@ -77,9 +79,15 @@
     )
 
 
+def _is_earlier(item: object, step_index: int) -> bool:
+    """Returns whether a value is the number of a step before the one with this index."""
+    return isinstance(item, int) and not isinstance(item, bool) and 0 <= item < step_index
+
+
 def _read_int(raw: dict, name: str, field_path: str) -> int:
     value = raw.get(name, 0) or 0
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < math.inf:
         raise ValueError(f"{field_path}: must be a non-negative number")
     return int(value)
 
--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -19,6 +19,8 @@
 READ_NEWEST_TIMEOUT_S = 5.0
 # The store has appended nothing when it responds with one of these statuses.
 REFUSED_STATUSES = frozenset({429, 503, 507})
+# What decoding a response of another form than the store's raises.
+MALFORMED = (struct.error, LookupError, TypeError, ValueError)
 
 
 class PlatformLog:
@@ -42,7 +44,7 @@
         body = b"".join(map(_frame_record, records))
         reply = await self._call("POST", url, timeout_s, body)
         if reply.status == 200:
-            return int(self._decode(reply)["offset"])
+            return self._decode_offset(reply)
         if reply.status in (409, 412):
             raise FencedError(reply.body.decode(errors="replace"))
         raise LogError(
@@ -69,7 +71,7 @@
             raise LogError(f"log-read returned status {reply.status}", False)
         try:
             return parse_records(reply.body, offset)
-        except (struct.error, IndexError, UnicodeDecodeError) as error:
+        except MALFORMED as error:
             raise LogError(f"log-read returned malformed records: {error}", False) from None
 
     async def read_newest(self) -> Batch:
@@ -85,16 +87,20 @@
             reply = await self._call("GET", url, READ_NEWEST_TIMEOUT_S)
             if reply.status != 200:
                 raise LogError(f"log-newest returned status {reply.status}", False)
-            page = self._decode(reply)
-            # Records may be appended while the pages are read, so reading continues at the end
-            # offset of the first page.
-            end_offset = page["endOffset"] if end_offset is None else end_offset
-            entries += [(item["offset"], item["key"], item["value"]) for item in page["items"]]
-            if not page.get("hasMore") or not page["items"]:
+            try:
+                page = self._decode(reply)
+                # Records may be appended while the pages are read, so reading continues at the end
+                # offset of the first page.
+                end_offset = int(page["endOffset"]) if end_offset is None else end_offset
+                items = [_decode_item(item) for item in page["items"]]
+            except MALFORMED as error:
+                raise LogError(f"log-newest returned a malformed page: {error}", False) from None
+            entries += items
+            if not page.get("hasMore") or not items:
                 break
-            after = page["items"][-1]["key"]
+            after = items[-1][1]
         entries.sort()
-        records = [KeyedRecord(key, base64.b64decode(value)) for _, key, value in entries]
+        records = [KeyedRecord(key, value) for _, key, value in entries]
         return Batch(records, end_offset, end_offset)
 
     async def _call(self, method: str, url: str, timeout_s: float, body=None) -> Reply:
@@ -103,6 +109,13 @@
         except CallFailedError as error:
             raise LogError(str(error), error.sent) from None
 
+    def _decode_offset(self, reply: Reply) -> int:
+        try:
+            return int(self._decode(reply)["offset"])
+        except MALFORMED as error:
+            # The status says that the records were stored.
+            raise LogError(f"log-append returned a malformed answer: {error}", True) from None
+
     def _decode(self, reply: Reply) -> dict:
         try:
             return reply.decode()
@@ -110,6 +123,11 @@
             raise LogError(str(error), True) from None
 
 
+def _decode_item(item: dict) -> tuple[int, str, bytes]:
+    """Returns the offset, the key and the value of an entry of a page of newest records."""
+    return int(item["offset"]), str(item["key"]), base64.b64decode(item["value"])
+
+
 def _frame_record(record: KeyedRecord) -> bytes:
     key = record.key.encode()
     return (
@@ -132,6 +150,8 @@
         (size,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
         record = body[position : position + size]
+        if len(record) < size:
+            raise ValueError("the last record is cut short")
         position += size
         key_end = 1 + record[0]
         records.append(KeyedRecord(record[1:key_end].decode(), record[key_end:]))
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -19,6 +19,8 @@
 
 COMMAND_TIMEOUT_S = 0.4
 HOLD_TIMEOUT_MARGIN_S = 0.4
+# What decoding a response of another form than a VM's raises.
+MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
 # The meaning of the platform's reason strings in responses with status 409.
 REFUSAL_BY_REASON = {
     "fence": StartRefusal.FENCED,
@@ -91,7 +93,7 @@
             return _decode_hold_answer(reply.decode())
         except CallFailedError as error:
             return NoAnswer(str(error))
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             return NoAnswer(f"malformed response to hold: {type(error).__name__}: {error}")
 
     async def _send_command(self, target: Target, operation: str, message: dict) -> StartOutcome:
@@ -102,6 +104,8 @@
             return _decode_refusal(reply)
         except CallFailedError as error:
             return NoAnswer(str(error))
+        except MALFORMED as error:
+            return NoAnswer(f"malformed response to {operation}: {type(error).__name__}: {error}")
 
     async def _post(self, target: Target, operation: str, message: dict, timeout_s: float) -> Reply:
         headers = {"Expect-Instance": target.vm}
