Decode a job's record on the leader alone

Cause: every node decompressed and decoded every job that is submitted anywhere, for its state and its queue's name alone. The ledger now keeps the record as it was read; the leader decodes it when it takes the job over, and a count of waiting jobs when a caller asks for one. A malformed record is logged and skipped where it is decoded.

--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -9,9 +9,9 @@
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log, log_routine
 from ..core.resource import NOTHING
-from ..core.timer import Timer, await_and_log_errors
+from ..core.timer import Timer, await_and_log_errors, call_and_log_errors
 from ..jobs.data import FINAL_STATES, Job, JobState, Progress, StepKey
-from ..jobs.ledger import Change, JobAdded, JobCancelled
+from ..jobs.ledger import MALFORMED, Change, JobAdded, JobCancelled, StoredJob
 from ..jobs.record import KeyedRecord, RecordKind, decode_progress, make_key
 from .commit import CommitQueue
 from .completion import drop_runs, list_broken_gang, settle_end
@@ -78,9 +78,7 @@
     def start(self):
         """Takes over the open jobs and starts the activities of the term."""
         self._refresh_vms()
-        jobs = sorted(self.dependencies.ledger.jobs.values(), key=lambda job: job.accepted_s)
-        for job in jobs:
-            self._take_over(job)
+        self._take_over_jobs()
         subscribe = self.dependencies.timers.subscribe
         self.timers = [
             subscribe(SWEEP_INTERVAL_S, self._sweep),
@@ -124,8 +122,15 @@
 
     # Jobs.
 
-    def _take_over(self, job: Job):
-        progress = decode_progress(job.encoded_progress) if job.encoded_progress else Progress()
+    def _take_over_jobs(self):
+        stored_jobs = self.dependencies.ledger.jobs.values()
+        pairs = [(_decode_or_log(stored), stored.encoded_progress) for stored in stored_jobs]
+        found = [(job, progress) for job, progress in pairs if job is not None]
+        for job, encoded_progress in sorted(found, key=lambda pair: pair[0].accepted_s):
+            call_and_log_errors(self._take_over, job, encoded_progress)
+
+    def _take_over(self, job: Job, encoded_progress: bytes):
+        progress = decode_progress(encoded_progress) if encoded_progress else Progress()
         work = self._open_job(job, progress)
         for (occurrence, number), step_progress in progress.steps.items():
             step = work.steps[occurrence, number]
@@ -164,13 +169,16 @@
     def apply_change(self, change: Change):
         """Handles a change that was read from the log."""
         if isinstance(change, JobAdded):
-            work = self._open_job(change.job, Progress())
-            if change.job.cancelled:
-                self._finish(work, JobState.CANCELLED)
-            self.state.wake.set()
+            job = _decode_or_log(change.job)
+            if job is not None:
+                work = self._open_job(job, Progress())
+                if job.cancelled:
+                    self._finish(work, JobState.CANCELLED)
+                self.state.wake.set()
         elif isinstance(change, JobCancelled):
             work = self.state.open_jobs.get(change.job_id)
             if work is not None:
+                work.job.cancelled = True
                 self._finish(work, JobState.CANCELLED)
                 self.state.wake.set()
 
@@ -362,3 +370,12 @@
             for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
                 self.commit.add(KeyedRecord(make_key(kind, name), b""))
             ledger.ended_at_s.pop(name)
+
+
+def _decode_or_log(stored: StoredJob) -> Job | None:
+    """Returns the job of a record, or ``None`` for a malformed record, which is logged."""
+    try:
+        return stored.decode()
+    except MALFORMED as error:
+        log("job:unreadable", job=stored.id, error=f"{type(error).__name__}: {error}")
+        return None
--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -145,18 +145,11 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """An accepted job.
-
-    ``accepted_s`` is the wall-clock time at which it was accepted. ``encoded_progress``
-    is the latest recorded progress; ``state`` is the state that may be reported to callers.
-    """
+    """An accepted job; ``accepted_s`` is the wall-clock time at which it was accepted."""
 
     id: str
     team: str
     queue: JobQueue
     spec: JobSpec
     accepted_s: float
-    state: JobState = JobState.QUEUED
     cancelled: bool = False
-    encoded_progress: bytes = b""
-    final_s: float = 0.0
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -19,6 +19,41 @@
     read_state,
 )
 
+# What decoding a malformed record raises.
+MALFORMED = (ValueError, LookupError, TypeError, AttributeError)
+
+
+@dataclass(slots=True, eq=False)
+class StoredJob:
+    """A job that hasn't ended, with its record as read from the log.
+
+    ``state`` is the state that may be reported to callers and ``encoded_progress`` the latest
+    recorded progress. Every node reads every job, but only the leader needs what is in the record;
+    the others don't spend the time to decode it.
+    """
+
+    id: str
+    record: bytes
+    state: JobState = JobState.QUEUED
+    cancelled: bool = False
+    encoded_progress: bytes = b""
+    queue: str = ""
+
+    def decode(self) -> Job:
+        """Decodes the record; raises ``ValueError`` and others if it is malformed."""
+        job = decode_job(self.id, self.record)
+        job.cancelled = self.cancelled
+        return job
+
+    def get_queue(self) -> str:
+        """Returns the name of the job's queue, or an empty string if the record is malformed."""
+        if not self.queue:
+            try:
+                self.queue = self.decode().queue.name
+            except MALFORMED:
+                return ""
+        return self.queue
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -27,7 +62,7 @@
     ``ended`` holds the final state of jobs whose specification has been dropped.
     """
 
-    jobs: dict[str, Job] = field(default_factory=dict)
+    jobs: dict[str, StoredJob] = field(default_factory=dict)
     ended: dict[str, JobState] = field(default_factory=dict)
     ended_at_s: dict[str, float] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
@@ -40,7 +75,7 @@
 class JobAdded:
     """A job was submitted for the first time."""
 
-    job: Job
+    job: StoredJob
 
 
 @dataclass(slots=True, frozen=True)
@@ -126,7 +161,7 @@
     job_id = record.name
     if not record.value or job_id in ledger.jobs or job_id in ledger.ended:
         return None
-    job = decode_job(job_id, record.value)
+    job = StoredJob(job_id, record.value)
     if job_id in ledger.cancelled:
         job.cancelled = True
         job.state = JobState.CANCELLED
@@ -197,5 +232,5 @@
     return sum(
         1
         for job in ledger.jobs.values()
-        if job.queue.name == queue and job.state is JobState.QUEUED
+        if job.state is JobState.QUEUED and job.get_queue() == queue
     )
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -82,7 +82,7 @@
     ledger = Ledger()
     assert isinstance(apply_record(ledger, make_job_record(payload="first")), JobAdded)
     assert apply_record(ledger, make_job_record(payload="second")) is None
-    assert ledger.jobs["a"].spec.payload == "first"
+    assert ledger.jobs["a"].decode().spec.payload == "first"
     assert count_waiting(ledger, "q") == 1
 
 
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -12,6 +12,7 @@
 from ..dispatch.term import LeaderDependencies
 from ..jobs.data import JobState
 from ..jobs.ledger import (
+    MALFORMED,
     Change,
     HeartbeatReceived,
     LeaderResigned,
@@ -362,6 +363,6 @@
     """Applies a record to the ledger and returns what changed; logs and skips a malformed one."""
     try:
         return apply_record(ledger, record)
-    except (ValueError, LookupError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         log("ledger:unreadable", key=record.key, error=f"{type(error).__name__}: {error}")
         return None
--- a/caroblead/node/startup_test.py
+++ b/caroblead/node/startup_test.py
@@ -8,7 +8,9 @@
 
 from ..core.outcome import Reason
 from ..dispatch.interface import Batch
+from ..jobs import ledger
 from ..jobs.data import JobState
+from ..jobs.record import decode_job
 from ..standin.cluster import QUEUES, kill_node, run_scenario, start_node, start_site, submit
 from ..standin.work import make_spec, make_step
 from .requesthandler import Counted, Rejected, Shown
@@ -92,3 +94,22 @@
         return site
 
     run_scenario(scenario)
+
+
+def test_only_the_leader_decodes_jobs(monkeypatch):
+    decoded = []
+
+    def count_and_decode(job_id, record):
+        decoded.append(job_id)
+        return decode_job(job_id, record)
+
+    monkeypatch.setattr(ledger, "decode_job", count_and_decode)
+
+    async def scenario():
+        site = await start_site(node_count=5)
+        jobs = [await submit(site, "n0", make_spec(make_step(1))) for _ in range(6)]
+        await asyncio.sleep(4)
+        assert sorted(decoded) == sorted(jobs)
+        return site
+
+    run_scenario(scenario)
