--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -127,9 +127,12 @@
         pairs = [(_decode_or_log(stored), stored.encoded_progress) for stored in stored_jobs]
         found = [(job, progress) for job, progress in pairs if job is not None]
         for job, encoded_progress in sorted(found, key=lambda pair: pair[0].accepted_s):
-            call_and_log_errors(self._take_over, job, encoded_progress)
+            if not call_and_log_errors(self._take_over, job, encoded_progress):
+                # Without its recorded runs, a task of the job could start a second time.
+                self.state.open_jobs.pop(job.id, None)
 
-    def _take_over(self, job: Job, encoded_progress: bytes):
+    def _take_over(self, job: Job, encoded_progress: bytes) -> bool:
+        """Opens a job with its recorded runs and returns true."""
         progress = decode_progress(encoded_progress) if encoded_progress else Progress()
         work = self._open_job(job, progress)
         for (occurrence, number), step_progress in progress.steps.items():
@@ -138,6 +141,7 @@
                 self._inherit_run(step, record)
         if job.cancelled:
             self._finish(work, JobState.CANCELLED)
+        return True
 
     def _open_job(self, job: Job, progress: Progress) -> JobWork:
         work = open_job(job, progress)
--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -8,6 +8,7 @@
 from ..core.resource import Resources
 from ..jobs.data import JobState
 from ..jobs.ledger import find_state
+from ..jobs.record import KeyedRecord, RecordKind, make_key
 from ..standin.cluster import (
     ADVISED,
     find_leader,
@@ -245,3 +246,23 @@
         return site
 
     judge(run_scenario(scenario))
+
+
+def test_malformed_progress_of_one_job_does_not_keep_a_new_leader_from_the_others():
+    async def scenario():
+        site = await start_site()
+        broken, sound = [
+            await submit(site, "n0", make_spec(make_step(2), seconds=3)) for _ in range(2)
+        ]
+        await asyncio.sleep(0.5)
+        await kill_node(site, find_leader(site))
+        record = KeyedRecord(make_key(RecordKind.PROGRESS, broken), b"r not a progress")
+        site.ledger.append([record], None)
+        await asyncio.sleep(12)
+        ledger = site.nodes[find_leader(site)].ledger
+        assert find_state(ledger, sound) is JobState.DONE
+        starts = [line for line in site.vm_simulator.history if line.kind == "start"]
+        assert len([line for line in starts if line.task.job == broken]) == 2
+        return site
+
+    run_scenario(scenario)
