--- a/caroblead/tools/programs_test.py
+++ b/caroblead/tools/programs_test.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import signal
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import aiohttp
 import pytest
 
-from ..bench.control import start_program
 from ..events.checker import check_history
 from ..events.event import OwnerChanged
 from ..events.timeline import read_records
@@ -21,6 +23,13 @@
 REQUEST_COUNT = 400
 
 
+def start_program(name: str, path: Path, *arguments: str) -> subprocess.Popen:
+    """Starts one of the programs as a separate process."""
+    code = f"from caroblead.tools.programs import run_{name}; run_{name}()"
+    command = [sys.executable, "-c", code, "--settings", str(path), *arguments]
+    return subprocess.Popen(command, stdout=subprocess.DEVNULL)
+
+
 @pytest.fixture
 def site(tmp_path):
     """Starts the platform stand-in and two zones of two entry VMs; stops all of it afterwards."""
