Say in the line of a denied job whether the ledger was read to its end

A 410 for a job that is stored can come from a node that lags behind or from a lost record; the line job:unknown told neither how old the ledger was nor whether its last read had reached the end of the log, and was one of those that are left out first.

--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -239,7 +239,14 @@
             return None
         was_read = self.ledger_tail.offset is not None
         if fresh or (was_read and self.ledger_tail.get_age_s() < MAX_LEDGER_AGE_S):
-            log_routine("job:unknown", job=job_id, fresh=fresh)
+            tail = self.ledger_tail
+            log(
+                "job:unknown",
+                job=job_id,
+                fresh=fresh,
+                caught_up=tail.caught_up,
+                ledger_age_s=round(tail.get_age_s(), 3),
+            )
             return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
         return self._reject_unread_log()
 
