Reproduce a 410 for an accepted job from a node that lags behind

A node behind a slow link reads the log in parts, one record in 0.4 s, while the leader writes four a second. Asked 3.5 s after the acceptance of a job it answers "no such job".

--- /dev/null
+++ b/caroblead/node/lagging_test.py
@@ -0,0 +1,60 @@
+"""A node whose copy of the ledger lags behind, as on a slow link after a cut, says nothing untrue."""
+
+import asyncio
+
+from ..core.outcome import Reason
+from ..jobs.data import JobState
+from ..standin.cluster import find_leader, run_scenario, start_site, submit
+from ..standin.work import make_spec, make_step
+from .requesthandler import Rejected, Shown
+
+# The slow link transfers a record in this time, and the leader alone writes four records a second.
+READ_DELAY_S = 0.4
+# How long after its acceptance every node that reaches the store must know a job.
+VISIBLE_S = 3.0
+
+
+def put_behind_slow_link(site):
+    """Puts a node that does not lead behind a slow link, so that it falls ever further behind."""
+    name = next(name for name in site.nodes if name != find_leader(site))
+    faults = site.faults_by_node[name]
+    faults.max_read_records, faults.read_delay_s = 1, READ_DELAY_S
+    return site.nodes[name]
+
+
+def test_node_that_lags_behind_denies_no_accepted_job():
+    async def scenario():
+        site = await start_site()
+        lagging = put_behind_slow_link(site)
+        await asyncio.sleep(10)
+        job = await submit(site, find_leader(site), make_spec(make_step(1), seconds=60))
+        assert job in site.caller_records.accepted
+        await asyncio.sleep(VISIBLE_S + 0.5)
+        assert not lagging.ledger_tail.caught_up
+        handler = lagging.request_handler
+        for answer in (await handler.show(job), await handler.cancel(job, 3.0)):
+            assert isinstance(answer, Rejected), answer
+            assert answer.fault.reason is Reason.LOG_DOWN
+            assert answer.fault.retry_after_s > 0
+        return site
+
+    run_scenario(scenario)
+
+
+def test_node_that_has_read_to_the_end_denies_a_job_that_nobody_submitted():
+    async def scenario():
+        site = await start_site()
+        lagging = put_behind_slow_link(site)
+        await asyncio.sleep(10)
+        faults = site.faults_by_node[lagging.settings.node]
+        faults.max_read_records, faults.read_delay_s = 0, 0.0
+        job = await submit(site, find_leader(site), make_spec(make_step(1), seconds=60))
+        await asyncio.sleep(2)
+        handler = lagging.request_handler
+        assert await handler.show(job) == Shown(JobState.RUNNING)
+        unknown = await handler.show("0" * 16)
+        assert isinstance(unknown, Rejected)
+        assert unknown.fault.reason is Reason.NO_SUCH_JOB
+        return site
+
+    run_scenario(scenario)
--- a/caroblead/standin/keyedlog.py
+++ b/caroblead/standin/keyedlog.py
@@ -25,7 +25,9 @@
 
     ``down`` refuses its calls, ``silent`` drops them without a response, and ``frozen`` pauses the
     caller. ``lost_answers`` is the number of next appends that take effect without a response.
-    ``late_s`` is the delay of its appends in seconds, which then get no response either.
+    ``late_s`` is the delay of its appends in seconds, which then get no response either. On a slow
+    link a read returns ``max_read_records`` at most and takes ``read_delay_s`` longer; 0 means no
+    limit.
     """
 
     down: bool = False
@@ -33,6 +35,8 @@
     lost_answers: int = 0
     late_s: float = 0.0
     frozen: bool = False
+    max_read_records: int = 0
+    read_delay_s: float = 0.0
 
     async def wait_while_frozen(self):
         """Returns once the caller is not frozen."""
@@ -136,6 +140,9 @@
             raise HistoryGoneError("gone")
         end_offset = topic.end_offset
         records = topic.records[offset - topic.first_offset :]
+        if self.caller_faults.max_read_records:
+            records = records[: self.caller_faults.max_read_records]
+        await asyncio.sleep(self.caller_faults.read_delay_s)
         await self.caller_faults.wait_while_frozen()
         return Batch(records, offset + len(records), end_offset)
 
