Count the age of a node's copy from the last read that reached the end of the log

What callers saw: 410 for an accepted job, seconds after its acceptance, from a node that could reach the store; the same node said that it was ready, and trusted keys of a configuration that it had not read to its end.

Cause: a node reads a long history in parts, and the age of its copy was counted from the last answered read, whether or not that read reached the end of the log. A node on a thin link that falls behind, as after a cut, seemed 0.5 s old while it lacked seconds of records. Class: a proof of absence from an incomplete read. The same figure decides whether a node is ready and whether keys may be trusted, so one definition mends all three.

A node that has read to the end still denies what nobody submitted. Now such a node answers 503 with when to come back, as one does that has not read the ledger at all.

--- a/caroblead/node/lagging_test.py
+++ b/caroblead/node/lagging_test.py
@@ -1,10 +1,17 @@
-"""A node whose copy of the ledger lags behind, as on a slow link after a cut, says nothing untrue."""
+"""A node that lags behind the log, as on a slow link after a cut, says nothing untrue."""
 
 import asyncio
 
 from ..core.outcome import Reason
 from ..jobs.data import JobState
-from ..standin.cluster import find_leader, run_scenario, start_site, submit
+from ..standin.cluster import (
+    KEY,
+    find_leader,
+    publish_config,
+    run_scenario,
+    start_site,
+    submit,
+)
 from ..standin.work import make_spec, make_step
 from .requesthandler import Rejected, Shown
 
@@ -58,3 +65,23 @@
         return site
 
     run_scenario(scenario)
+
+
+def test_node_that_lags_behind_the_configuration_trusts_no_key_and_is_not_ready():
+    async def scenario():
+        site = await start_site()
+        lagging = put_behind_slow_link(site)
+        current = site.nodes[find_leader(site)]
+        for version in range(2, 50):
+            publish_config(site, version)
+            await asyncio.sleep(READ_DELAY_S / 2)
+        assert current.configuration_view.current.version == 49
+        assert lagging.configuration_view.current.version < 49
+        assert current.is_ready()
+        assert not lagging.is_ready()
+        answer = lagging.request_handler.admit("x.example", "/c/", KEY)
+        assert isinstance(answer, Rejected)
+        assert answer.fault.reason is Reason.NO_CONFIG
+        return site
+
+    run_scenario(scenario)
--- a/caroblead/node/tail.py
+++ b/caroblead/node/tail.py
@@ -22,9 +22,9 @@
 class Tail:
     """The reader of one keyed log.
 
-    ``read_s`` is when the last answered read was sent and ``answered_s`` when its answer arrived.
-    ``caught_up`` tells that this read reached the end of the log, and ``lost`` is set while reads
-    fail.
+    ``answered_s`` is when the last answer arrived, ``caught_up`` tells whether that read reached
+    the end of the log, and ``current_s`` is when the last read that did so was sent. ``lost`` is
+    set while reads fail.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         self.wait_s = wait_s
         self.pause_s = pause_s
         self.offset: int | None = None
-        self.read_s = 0.0
+        self.current_s = 0.0
         self.answered_s = 0.0
         self.caught_up = False
         self.lost = False
@@ -80,9 +80,10 @@
             log("log:back", log=self.name, silent_s=get_elapsed_s() - self.answered_s)
         self.consume(batch, complete)
         self.offset = batch.next_offset
-        self.read_s = sent_s
         self.answered_s = get_elapsed_s()
         self.caught_up = batch.next_offset >= batch.end_offset
+        if self.caught_up:
+            self.current_s = sent_s
         self._wake_waiters()
         if self.caught_up and not complete:
             await self._pause()
@@ -122,7 +123,7 @@
         Returns false if that takes longer than ``timeout_s`` seconds.
         """
         started_s = get_elapsed_s()
-        while not (self.caught_up and self.read_s >= started_s):
+        while not (self.caught_up and self.current_s >= started_s):
             left_s = started_s + timeout_s - get_elapsed_s()
             if left_s <= 0:
                 return False
@@ -134,6 +135,7 @@
     def get_age_s(self) -> float:
         """Returns the age of this node's copy of the log.
 
-        It is the time since the last answered read was sent.
+        It is the time since the last read that reached the end of the log was sent: every record
+        that was in the log before is known.
         """
-        return get_elapsed_s() - self.read_s
+        return get_elapsed_s() - self.current_s
