Ask the leader for a job that a lagging node doesn't know

Callers of a node that hasn't read to the end of the log got 503 for every job that was accepted since, although the leader knows it and the node asks it for the state of jobs that it does know. It asks now before it gives up, to show a job and to cancel it. The new test failed before (503 for both).

--- a/caroblead/node/lagging_test.py
+++ b/caroblead/node/lagging_test.py
@@ -13,7 +13,7 @@
     submit,
 )
 from ..standin.work import make_spec, make_step
-from .requesthandler import Rejected, Shown
+from .requesthandler import Cancelled, Rejected, Shown
 
 # The slow link transfers a record in this time, and the leader alone writes four records a second.
 READ_DELAY_S = 0.4
@@ -21,6 +21,11 @@
 VISIBLE_S = 3.0
 
 
+async def ignore_question(job_id, wait_s):
+    """Stands for a leader that does not answer."""
+    return None
+
+
 def put_behind_slow_link(site):
     """Puts a node that does not lead behind a slow link, so that it falls ever further behind."""
     name = next(name for name in site.nodes if name != find_leader(site))
@@ -38,6 +43,7 @@
         assert job in site.caller_records.accepted
         await asyncio.sleep(VISIBLE_S + 0.5)
         assert not lagging.ledger_tail.caught_up
+        lagging.notifier.ask_leader = ignore_question
         handler = lagging.request_handler
         for answer in (await handler.show(job), await handler.cancel(job, 3.0)):
             assert isinstance(answer, Rejected), answer
@@ -48,6 +54,26 @@
     run_scenario(scenario)
 
 
+def test_node_that_lags_behind_shows_and_cancels_a_job_that_the_leader_knows():
+    async def scenario():
+        site = await start_site()
+        lagging = put_behind_slow_link(site)
+        await asyncio.sleep(10)
+        job = await submit(site, find_leader(site), make_spec(make_step(1), seconds=60))
+        await asyncio.sleep(1)
+        lagging.notifier.ask_leader = site.nodes[find_leader(site)].notifier.wait_for_end
+        handler = lagging.request_handler
+        assert await handler.show(job) == Shown(JobState.RUNNING)
+        assert await handler.cancel(job, 3.0) == Cancelled()
+        await asyncio.sleep(1)
+        assert await site.nodes[find_leader(site)].request_handler.show(job) == Shown(
+            JobState.CANCELLED
+        )
+        return site
+
+    run_scenario(scenario)
+
+
 def test_node_that_has_read_to_the_end_denies_a_job_that_nobody_submitted():
     async def scenario():
         site = await start_site()
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -173,10 +173,9 @@
         if state is not None and state not in FINAL_STATES:
             state = await self._get_newest_state(job_id)
         if state is None:
-            rejected = await self._look_up(job_id)
-            if rejected is not None:
-                return rejected
-            state = find_state(self.get_ledger(), job_id)
+            state = await self._look_up(job_id)
+        if isinstance(state, Rejected):
+            return state
         log_routine(
             "job:shown",
             job=job_id,
@@ -198,10 +197,9 @@
         """Cancels a job permanently, unless it has already ended."""
         state = find_state(self.get_ledger(), job_id)
         if state is None:
-            rejected = await self._look_up(job_id)
-            if rejected is not None:
-                return rejected
-            state = find_state(self.get_ledger(), job_id)
+            state = await self._look_up(job_id)
+        if isinstance(state, Rejected):
+            return state
         if state in FINAL_STATES:
             return Cancelled()
         record = KeyedRecord(make_key(RecordKind.CANCEL, job_id), b"1")
@@ -232,14 +230,18 @@
             return self._reject_unread_log()
         return Counted(count_waiting(self.get_ledger(), queue.name))
 
-    async def _look_up(self, job_id: str) -> Rejected | None:
-        """Searches the log for a job; returns why it can't be shown, or ``None`` if it is found."""
-        fresh = await self.ledger_tail.catch_up(LOOKUP_TIMEOUT_S)
-        if find_state(self.get_ledger(), job_id) is not None:
-            return None
-        was_read = self.ledger_tail.offset is not None
-        if fresh or (was_read and self.ledger_tail.get_age_s() < MAX_LEDGER_AGE_S):
-            tail = self.ledger_tail
+    async def _look_up(self, job_id: str) -> JobState | Rejected:
+        """Searches the log for a job, and asks the leader if this node's copy is too old to tell.
+
+        Returns the job's state, or why it can't be shown.
+        """
+        tail = self.ledger_tail
+        fresh = await tail.catch_up(LOOKUP_TIMEOUT_S)
+        state = find_state(self.get_ledger(), job_id)
+        if state is not None:
+            return state
+        was_read = tail.offset is not None
+        if fresh or (was_read and tail.get_age_s() < MAX_LEDGER_AGE_S):
             log(
                 "job:unknown",
                 job=job_id,
@@ -248,7 +250,7 @@
                 ledger_age_s=round(tail.get_age_s(), 3),
             )
             return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
-        return self._reject_unread_log()
+        return await self.notifier.ask(job_id) or self._reject_unread_log()
 
     def _reject_unread_log(self) -> Rejected:
         return self._reject(Reason.LOG_DOWN, Step.ROUTE, "the job log can't be read", RETRY_AFTER_S)
