Free the node of a call for advice that is cancelled before it begins

Cause: bookkeeping in a place that need not run. A call counted itself as open before its task was created and was uncounted in the `finally` of that task; a term that ended in between cancelled the task before its first step, and a task cancelled there runs none of its code.

Evidence: test_term_that_ends_before_a_call_begins_does_not_keep_its_node_busy failed before with a TimeoutError: the request of the next term was never sent.

The call is now uncounted in the task's done callback, which runs for every end of a task.

--- a/caroblead/dispatch/advicequeue.py
+++ b/caroblead/dispatch/advicequeue.py
@@ -142,7 +142,9 @@
         self.calls += 1
         task = asyncio.create_task(self._call_node(adviser, request))
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        # A task that is cancelled before its first step runs none of its own code, not even a
+        # ``finally`` block, so the end of the call is handled in a callback.
+        task.add_done_callback(lambda done: self._end_call(adviser, request, done))
         asyncio.get_running_loop().call_later(
             request.expected_s + HEDGE_AFTER_S, self._hedge, request
         )
@@ -151,15 +153,18 @@
         if not request.done.done() and request.open_calls:
             self._enqueue(request, ())
 
-    async def _call_node(self, adviser: Adviser, request: AdviceRequest):
+    async def _call_node(self, adviser: Adviser, request: AdviceRequest) -> Advice:
         timeout_s = request.expected_s + CALL_SLACK_S
-        try:
-            answer = await adviser.ask(request.step, request.vms, timeout_s)
-        finally:
-            adviser.in_flight -= 1
-            adviser.in_flight_long -= request.is_long
-            request.open_calls -= 1
-        self._handle_answer(adviser, request, answer)
+        return await adviser.ask(request.step, request.vms, timeout_s)
+
+    def _end_call(self, adviser: Adviser, request: AdviceRequest, task: asyncio.Task):
+        """Frees the node of a call that has ended in any way, and handles its answer."""
+        self.tasks.discard(task)
+        adviser.in_flight -= 1
+        adviser.in_flight_long -= request.is_long
+        request.open_calls -= 1
+        if not task.cancelled():
+            self._handle_answer(adviser, request, task.result())
         self._send_waiting()
 
     def _handle_answer(self, adviser: Adviser, request: AdviceRequest, answer: Advice):
--- a/caroblead/dispatch/advicequeue_test.py
+++ b/caroblead/dispatch/advicequeue_test.py
@@ -82,3 +82,18 @@
         stuck.cancel()
 
     play(scenario)
+
+
+def test_term_that_ends_before_a_call_begins_does_not_keep_its_node_busy():
+    async def scenario(make_adviser, asked, loop):
+        advice_queue = AdviceQueue(make_adviser("own"), loop.time)
+        former = asyncio.create_task(advice_queue.ask("a-0.05", ["v"], 0.05, (0,)))
+        # The request is queued in this pass of the loop, and its call would begin in the next one.
+        await asyncio.sleep(0)
+        former.cancel()
+        advice_queue.clear()
+        answer = await asyncio.wait_for(advice_queue.ask("b-0.05", ["v"], 0.05, (0,)), 1.0)
+        assert answer.tickets == {"v": "t"}
+        assert [step for _, _, step in asked] == ["b-0.05"]
+
+    play(scenario)
