Answer a request for advice whose call raised an error

Cause: an error that ends a task ends its duty too. A call that raised anything, or was cancelled from within, freed its node but neither answered the request nor sent the next one, so the step counted as having a request under way for the rest of the term.

Evidence: test_error_in_a_call_ends_the_request_and_backs_the_node_off and test_call_that_cancels_itself_ends_its_request failed before, both with a TimeoutError.

Every end of a call now answers its request once no other call about it is open. An error also backs the node off, as an answer without tickets does.

--- a/caroblead/dispatch/advicequeue.py
+++ b/caroblead/dispatch/advicequeue.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from ..core.logsink import log
+from ..core.timer import await_and_log_errors
 from .interface import Advice
 
 # Added to the expected duration of a request to get its timeout.
@@ -155,7 +156,8 @@
 
     async def _call_node(self, adviser: Adviser, request: AdviceRequest) -> Advice:
         timeout_s = request.expected_s + CALL_SLACK_S
-        return await adviser.ask(request.step, request.vms, timeout_s)
+        answer = await await_and_log_errors(adviser.ask(request.step, request.vms, timeout_s))
+        return Advice(None) if answer is None else answer
 
     def _end_call(self, adviser: Adviser, request: AdviceRequest, task: asyncio.Task):
         """Frees the node of a call that has ended in any way, and handles its answer."""
@@ -163,7 +165,9 @@
         adviser.in_flight -= 1
         adviser.in_flight_long -= request.is_long
         request.open_calls -= 1
-        if not task.cancelled():
+        if task.cancelled():
+            self._fail_if_last(request)
+        else:
             self._handle_answer(adviser, request, task.result())
         self._send_waiting()
 
@@ -178,5 +182,9 @@
         adviser.backoff_until_s = self.clock() + pause_s
         asyncio.get_running_loop().call_later(pause_s, self._send_waiting)
         log("advice:adviser_failed", adviser=adviser.node, step=request.step, pause_s=pause_s)
+        self._fail_if_last(request)
+
+    def _fail_if_last(self, request: AdviceRequest):
+        """Answers a request without tickets if no other call about it is open."""
         if not request.open_calls and not request.done.done():
-            request.done.set_result(answer)
+            request.done.set_result(Advice(None))
--- a/caroblead/dispatch/advicequeue_test.py
+++ b/caroblead/dispatch/advicequeue_test.py
@@ -97,3 +97,31 @@
         assert [step for _, _, step in asked] == ["b-0.05"]
 
     play(scenario)
+
+
+def test_error_in_a_call_ends_the_request_and_backs_the_node_off():
+    async def scenario(make_adviser, asked, loop):
+        async def fail(step, vms, timeout_s):
+            raise ValueError("not an answer")
+
+        advice_queue = AdviceQueue(Adviser("own", fail), loop.time)
+        answer = await asyncio.wait_for(advice_queue.ask("a-0.05", ["v"], 0.05, (0,)), 1.0)
+        assert answer.tickets is None
+        assert advice_queue.own.backoff_until_s > loop.time()
+        advice_queue.put_adviser(make_adviser("n1"))
+        answer = await asyncio.wait_for(advice_queue.ask("b-0.05", ["v"], 0.05, (0,)), 1.0)
+        assert answer.tickets == {"v": "t"}
+
+    play(scenario)
+
+
+def test_call_that_cancels_itself_ends_its_request():
+    async def scenario(make_adviser, asked, loop):
+        async def give_up(step, vms, timeout_s):
+            raise asyncio.CancelledError
+
+        advice_queue = AdviceQueue(Adviser("own", give_up), loop.time)
+        answer = await asyncio.wait_for(advice_queue.ask("a-0.05", ["v"], 0.05, (0,)), 1.0)
+        assert answer.tickets is None
+
+    play(scenario)
