Close a connection at a planned stop only when nothing is read on it

Callers of a node that was stopped with SIGTERM could lose an answer: the node had read their whole request, and the connection ended without a response.

Cause: the shutdown of the HTTP library, which marks every connection as closing and from then on drops what it reads there, also the rest of a request whose head it has already handed over. The handler then waited for a body that had arrived, for up to 60 s, until the process was killed. The same shutdown waited 60 s for a connection that had been accepted in the same turn of the loop, since it cancels a wait that hadn't begun. Class: a check (no open calls) and an act (close) with reads between them.

Evidence, on the code before: three of the new tests failed. test_request_whose_body_arrives_until_after_the_drain_is_answered: no response at all. test_request_that_was_read_while_connections_are_closed_is_answered[0]: all bytes of the request were read, no response. test_connection_accepted_in_the_moment_of_the_stop_does_not_delay_it[3]: stopping took 60.9 s instead of under 2 s. The other turns of these two and the test with callers that keep calling passed before.

A listener now stops accepting, stops reading from the connections without a call, lets the loop turn until every request that was read has begun, closes those still without a call and reads on from the others, until none is left or a fifth of the grace period has passed. The readiness and metrics servers stop the same way. Callers of frontend.runners use Listener.address instead.

--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -17,12 +17,14 @@
     Shown,
 )
 from .jobs import decode_spec, encode_state
+from .listener import Listener
 
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
 # Applies to calls without a valid Deadline-Ms header.
 DEFAULT_TIME_BUDGET_S = 3.0
 MAX_TIME_BUDGET_S = 300.0
+STOP_TIMEOUT_S = 1.0
 STATUS_BY_REASON = {
     Reason.BAD_INPUT: 400,
     Reason.NO_KEY: 401,
@@ -37,35 +39,39 @@
 
 
 class Frontend:
-    """The HTTP server of a node for callers and for the load balancer.
-
-    ``open_calls`` is the number of calls in progress. While ``closing`` is set, each connection is
-    closed after its response.
-    """
+    """The HTTP server of a node for callers and for the load balancer."""
 
     def __init__(self, request_handler: RequestHandler, is_ready, metrics):
         self.request_handler = request_handler
         self.is_ready = is_ready
         self.metrics = metrics
-        self.closing = False
-        self.open_calls = 0
-        self.runners: list[web.ServerRunner] = []
+        self.caller_listener = Listener(self._serve_caller)
+        self.listeners = [self.caller_listener]
+
+    @property
+    def open_calls(self) -> int:
+        """The number of callers' requests in progress."""
+        return len(self.caller_listener.calls)
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection of a caller is closed after each response."""
+        return self.caller_listener.closing
+
+    @closing.setter
+    def closing(self, value: bool):
+        self.caller_listener.closing = value
 
     async def start(self, caller_address: str, readiness_address: str):
         """Listens for callers and for the load balancer's readiness checks.
 
         Both addresses have the form ``host:port`` and may be the same.
         """
-        await self._listen(caller_address, self._serve_caller)
+        await _start_at(self.caller_listener, caller_address)
         if readiness_address != caller_address:
-            await self._listen(readiness_address, self._serve_readiness)
-
-    async def _listen(self, address: str, handler):
-        host, port = address.rsplit(":", 1)
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=512).start()
-        self.runners.append(runner)
+            listener = Listener(self._serve_readiness)
+            self.listeners.append(listener)
+            await _start_at(listener, readiness_address)
 
     async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.is_ready() else 503)
@@ -73,7 +79,6 @@
     async def _serve_caller(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/api/readyz":
             return await self._serve_readiness(request)
-        self.open_calls += 1
         started_s = asyncio.get_running_loop().time()
         try:
             response = await self._answer(request)
@@ -84,12 +89,8 @@
         except Exception as error:
             log("call:failed", method=request.method, error=f"{type(error).__name__}: {error}")
             response = web.Response(status=500)
-        finally:
-            self.open_calls -= 1
         took_s = asyncio.get_running_loop().time() - started_s
         self.metrics.record_call(request.method, response.status, took_s)
-        if self.closing:
-            response.force_close()
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
@@ -126,10 +127,17 @@
             return _make_error_response(400, str(error))
         return _make_response(await self.request_handler.submit(admission, job_id, spec, budget_s))
 
-    async def stop_listening(self):
-        """Stops accepting connections and closes the idle ones."""
-        for runner in self.runners:
-            await runner.cleanup()
+    async def stop_listening(self, timeout_s: float = STOP_TIMEOUT_S):
+        """Stops accepting connections, and closes each one once its call is answered.
+
+        Connections that can't be closed within ``timeout_s`` seconds are aborted.
+        """
+        await asyncio.gather(*(listener.close(timeout_s) for listener in self.listeners))
+
+
+async def _start_at(listener: Listener, address: str):
+    host, port = address.rsplit(":", 1)
+    await listener.start(host, int(port))
 
 
 def _read_api_key(request: web.BaseRequest) -> str | None:
--- a/caroblead/platform/frontend_test.py
+++ b/caroblead/platform/frontend_test.py
@@ -17,7 +17,7 @@
 
     def __init__(self, http, frontend):
         self.http = http
-        host, port = frontend.runners[0].addresses[0][:2]
+        host, port = frontend.caller_listener.address
         self.base_url = f"http://{host}:{port}"
 
     async def call(self, method, path, body=None, **headers):
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -21,6 +21,7 @@
 from .advisor import PlatformAdvisor
 from .frontend import Frontend
 from .http import HttpClient
+from .listener import Listener
 from .log import PlatformLog
 from .vms import PlatformVms
 
@@ -29,6 +30,10 @@
 CONNECTIONS_PER_VM = 6
 CONNECTIONS_TO_STORE = 16
 EXIT_USAGE = 2
+# Fraction of the grace period of a planned stop in which callers' connections are closed after the
+# drain, and how long the others may take.
+CLOSE_FRACTION = 0.2
+CLOSE_METRICS_S = 0.05
 
 
 def load_settings_or_exit(path: str) -> NodeSettings:
@@ -58,16 +63,15 @@
     return Node(settings, adapters, configuration_view, Registry(registry.decode_vm), seed)
 
 
-async def serve_metrics(node: Node) -> web.ServerRunner:
+async def serve_metrics(node: Node) -> Listener:
     """Serves the metrics of the node over HTTP, as text."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(text=node.write_metrics())
 
-    runner = web.ServerRunner(web.Server(answer, access_log=None))
-    await runner.setup()
-    await web.TCPSite(runner, node.settings.host, node.settings.metrics_port).start()
-    return runner
+    listener = Listener(answer)
+    await listener.start(node.settings.host, node.settings.metrics_port)
+    return listener
 
 
 async def serve(path: str):
@@ -80,7 +84,7 @@
     frontend = Frontend(node.request_handler, node.is_ready, node.metrics)
     await node.start()
     await frontend.start(settings.callers, settings.readiness)
-    metrics_runner = await serve_metrics(node)
+    metrics_listener = await serve_metrics(node)
     log("node:started", incarnation=node.election.incarnation)
     loop, stop_requested = asyncio.get_running_loop(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
@@ -88,8 +92,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, path, node)
     await stop_requested.wait()
     await node.drain(frontend)
-    await frontend.stop_listening()
-    await metrics_runner.cleanup()
+    await frontend.stop_listening(node.settings.grace_s * CLOSE_FRACTION)
+    await metrics_listener.close(CLOSE_METRICS_S)
     await node.close()
     await store_http.close()
     await vm_http.close()
