Answer the calls that are still open when the time for a planned stop is over

A caller whose call was still open when a stopped node had used up its grace period got no response: the process was killed, or aborted the connection, while the call waited for the store or for the rest of a body.

Cause: nothing bounded a call by the end of the stop. A submission waits for the store by its own deadline and by 1.2 s without an answer, a question up to 1 s for the ledger, a body for ever.

Half of the time for closing before its end, the appender now ends all waits with what it knows: a record in flight, or one that was sent before, is in doubt (504), one that was never sent is not stored (503), and it appends nothing more. The calls that are then still open have had no effect and are cancelled, with 503 as their answer.

--- a/caroblead/node/appender.py
+++ b/caroblead/node/appender.py
@@ -71,17 +71,23 @@
     """Groups records into batches and appends one batch at a time.
 
     ``lost`` is set while appends fail, from the first failed one to the next successful one.
+    ``in_flight`` holds the batch that is being appended, and ``given_up`` tells that no further
+    record is appended.
     """
 
     def __init__(self, keyed_log: KeyedLog):
         self.log = keyed_log
         self.waiting: list[PendingRecord] = []
+        self.in_flight: list[PendingRecord] = []
+        self.given_up = False
         self.wake = asyncio.Event()
         self.lost = False
         self.appends = 0
 
     async def append(self, record: KeyedRecord, timeout_s: float) -> AppendResult:
         """Stores a record and returns the result, after ``timeout_s`` seconds at the latest."""
+        if self.given_up:
+            return AppendResult.NOT_STORED
         deadline_s = get_elapsed_s() + timeout_s
         entry = PendingRecord(record, deadline_s, asyncio.get_running_loop().create_future())
         self.waiting.append(entry)
@@ -93,6 +99,18 @@
                 self.waiting.remove(entry)
             return AppendResult.UNKNOWN if entry.sent else AppendResult.NOT_STORED
 
+    def give_up(self):
+        """Ends all attempts with what is known about each record, so that its caller can be told.
+
+        Records that are passed to :meth:`append` later are not stored.
+        """
+        self.given_up = True
+        for entry in self.in_flight:
+            _resolve(entry, AppendResult.UNKNOWN)
+        for entry in self.waiting:
+            _resolve(entry, AppendResult.UNKNOWN if entry.sent else AppendResult.NOT_STORED)
+        self.waiting.clear()
+
     async def run(self):
         """Appends queued records until it is cancelled."""
         while True:
@@ -101,7 +119,9 @@
             while self.waiting:
                 batch = self.waiting[:MAX_BATCH_RECORDS]
                 del self.waiting[:MAX_BATCH_RECORDS]
+                self.in_flight = batch
                 await await_and_log_errors(self._append(batch))
+                self.in_flight = []
                 # After an unexpected error nobody knows whether the records were stored.
                 for entry in batch:
                     if entry not in self.waiting:
--- a/caroblead/node/appender_test.py
+++ b/caroblead/node/appender_test.py
@@ -4,6 +4,7 @@
 
 from ..core.clock import use_clocks, use_system_clocks
 from ..core.loop import run_in_virtual_time
+from ..core.outcome import LogError
 from ..jobs.record import KeyedRecord
 from .appender import Appender, AppendResult, compute_pause_s
 
@@ -72,3 +73,34 @@
     assert compute_pause_s(0.006) == 0.0
     assert compute_pause_s(0.1) == 0.2
     assert compute_pause_s(5.0) == 0.4
+
+
+class SilentLog:
+    """A log that never answers an append."""
+
+    async def append(self, records, fence, timeout_s):
+        await asyncio.sleep(timeout_s)
+        raise LogError("no response from the store", True)
+
+
+async def give_up_early() -> list[AppendResult]:
+    """Returns the results of a record in flight, one in the queue and one that comes later."""
+    appender = Appender(SilentLog())
+    running = asyncio.create_task(appender.run())
+    calls = []
+    for number in range(2):
+        record = KeyedRecord(f"j/{number}", b"1")
+        calls.append(asyncio.create_task(appender.append(record, 3.0)))
+        await asyncio.sleep(0.1)
+    appender.give_up()
+    results = await asyncio.wait_for(asyncio.gather(*calls), 0.1)
+    results.append(await asyncio.wait_for(appender.append(record, 3.0), 0.1))
+    await asyncio.sleep(1.0)
+    assert appender.waiting == []
+    running.cancel()
+    return results
+
+
+def test_record_that_may_have_been_sent_is_never_reported_as_not_stored_when_appends_are_given_up():
+    results = play(give_up_early)
+    assert results == [AppendResult.UNKNOWN, AppendResult.NOT_STORED, AppendResult.NOT_STORED]
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -210,6 +210,14 @@
         log("job:cancel_failed", job=job_id, stored=result)
         return self._explain_failure(result)
 
+    def give_up(self) -> Rejected:
+        """Ends the waits for the log, and returns the answer to requests that had no effect yet.
+
+        A node that stops calls this when callers must be answered without delay.
+        """
+        self.appender.give_up()
+        return self._reject(Reason.DRAINING, Step.ROUTE, "the node is stopping", RETRY_AFTER_S)
+
     def _explain_failure(self, result: AppendResult) -> Rejected | InDoubt:
         """Returns the answer to a caller whose record is not certainly stored in the log."""
         if result is AppendResult.NOT_STORED:
--- a/caroblead/platform/drain_test.py
+++ b/caroblead/platform/drain_test.py
@@ -122,6 +122,55 @@
     run_stop(scenario)
 
 
+def test_request_whose_body_does_not_arrive_in_time_is_rejected_within_the_grace_period():
+    async def scenario(stop):
+        caller = await stop.connect()
+        stopped = asyncio.create_task(stop.stop())
+        await asyncio.sleep(0.3 * GRACE_S)
+        caller.send(encode_request("POST", 1, BODY)[:-20])
+        status, headers = await caller.read_response()
+        assert status == 503
+        assert headers["connection"] == "close"
+        assert await stopped < GRACE_S
+
+    run_stop(scenario)
+
+
+def test_submission_that_the_store_leaves_unanswered_gets_its_answer_within_the_grace_period():
+    async def scenario(stop):
+        caller = await stop.connect()
+        request = encode_request("POST", 2, BODY, deadline_ms=30_000)
+        stopped = asyncio.create_task(stop.stop())
+        await asyncio.sleep(0.3 * GRACE_S)
+        caller.send(request[:-20])
+        await asyncio.sleep(0.4 * GRACE_S)
+        stop.faults.silent = True
+        caller.send(request[-20:])
+        status, headers = await caller.read_response()
+        assert status == 504
+        assert headers["connection"] == "close"
+        assert await stopped < GRACE_S
+
+    run_stop(scenario)
+
+
+def test_question_for_a_job_gets_its_answer_within_the_grace_period_without_the_store():
+    async def scenario(stop):
+        caller, asker = await stop.connect(), await stop.connect()
+        stopped = asyncio.create_task(stop.stop())
+        await asyncio.sleep(0.3 * GRACE_S)
+        caller.send(encode_request("POST", 2, BODY)[:-20])
+        stop.faults.silent = True
+        await asyncio.sleep(0.4 * GRACE_S)
+        asker.send(encode_request("GET", 9))
+        status, headers = await asker.read_response()
+        assert status == 503
+        assert headers["connection"] == "close"
+        assert await stopped < GRACE_S
+
+    run_stop(scenario)
+
+
 @pytest.mark.parametrize("turns", range(8))
 def test_connection_accepted_in_the_moment_of_the_stop_does_not_delay_it(turns):
     async def scenario(stop):
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -25,6 +25,8 @@
 DEFAULT_TIME_BUDGET_S = 3.0
 MAX_TIME_BUDGET_S = 300.0
 STOP_TIMEOUT_S = 1.0
+# How long a call whose wait for the log has ended may take until its answer is sent.
+ANSWER_S = 0.02
 STATUS_BY_REASON = {
     Reason.BAD_INPUT: 400,
     Reason.NO_KEY: 401,
@@ -39,7 +41,11 @@
 
 
 class Frontend:
-    """The HTTP server of a node for callers and for the load balancer."""
+    """The HTTP server of a node for callers and for the load balancer.
+
+    ``rejection_of_open_calls`` is the answer to the calls that are cancelled because the time for a
+    planned stop is over.
+    """
 
     def __init__(self, request_handler: RequestHandler, is_ready, metrics):
         self.request_handler = request_handler
@@ -47,6 +53,7 @@
         self.metrics = metrics
         self.caller_listener = Listener(self._serve_caller)
         self.listeners = [self.caller_listener]
+        self.rejection_of_open_calls: Rejected | None = None
 
     @property
     def open_calls(self) -> int:
@@ -83,7 +90,10 @@
         try:
             response = await self._answer(request)
         except asyncio.CancelledError:
-            raise
+            if self.rejection_of_open_calls is None:
+                raise
+            asyncio.current_task().uncancel()
+            response = _make_rejection_response(self.rejection_of_open_calls)
         except web.HTTPException as error:
             response = _make_error_response(error.status, error.reason)
         except Exception as error:
@@ -130,9 +140,27 @@
     async def stop_listening(self, timeout_s: float = STOP_TIMEOUT_S):
         """Stops accepting connections, and closes each one once its call is answered.
 
-        Connections that can't be closed within ``timeout_s`` seconds are aborted.
+        After half of ``timeout_s`` seconds, the calls in progress are answered with what is known
+        about them. Connections that can't be closed within ``timeout_s`` are aborted.
         """
-        await asyncio.gather(*(listener.close(timeout_s) for listener in self.listeners))
+        for listener in self.listeners:
+            await listener.stop_accepting()
+        if not await self._close_when_idle(timeout_s / 2):
+            await self._give_up()
+            await self._close_when_idle(timeout_s / 2)
+        for listener in self.listeners:
+            await listener.abort()
+
+    async def _close_when_idle(self, timeout_s: float) -> bool:
+        closings = [listener.close_when_idle(timeout_s) for listener in self.listeners]
+        return all(await asyncio.gather(*closings))
+
+    async def _give_up(self):
+        """Ends the waits of the calls in progress: first for the log, then all others."""
+        log("node:gives_up", open_calls=self.open_calls)
+        self.rejection_of_open_calls = self.request_handler.give_up()
+        await asyncio.sleep(ANSWER_S)
+        self.caller_listener.cancel_calls()
 
 
 async def _start_at(listener: Listener, address: str):
--- a/caroblead/platform/listener.py
+++ b/caroblead/platform/listener.py
@@ -101,11 +101,20 @@
             transport.pause_reading()
         return idle
 
+    def cancel_calls(self):
+        """Cancels the tasks of all calls in progress."""
+        for task in self.calls.values():
+            task.cancel()
+
+    async def abort(self):
+        """Closes the remaining connections at once."""
+        await self.runner.cleanup()
+
     async def close(self, timeout_s: float):
         """Stops, and aborts the connections that can't be closed within ``timeout_s`` seconds."""
         await self.stop_accepting()
         await self.close_when_idle(timeout_s)
-        await self.runner.cleanup()
+        await self.abort()
 
 
 async def _wait_until_begun():
