Handle signals from the start of a node on

A node whose settings were reloaded (SIGHUP) while it started ended, and one that was stopped (SIGTERM) in the moments after it had begun to listen ended without a drain: callers whose requests it had read got no answer.

Cause: the handlers were installed last, after callers were served; until then both signals have their default effect, which ends the process. Class: a process is reachable before it is ready.

Evidence: the program sends itself the signal in a certain function.

The handlers are now installed before the settings are read, and the node that they act on exists at the next turn of the loop. Before that, a request to reload is ignored: the settings are yet to be read.

--- a/caroblead/platform/__main__.py
+++ b/caroblead/platform/__main__.py
@@ -3,10 +3,13 @@
 Two costs of the imports are avoided: the HTTP library reads the certificates that it trusts, which
 a node never needs because it makes no TLS connections, and the garbage collector looks through
 objects that live as long as the process.
+
+A request to reload the settings that arrives before they are first read is ignored.
 """
 
 import gc
 import os
+import signal
 
 # Names the file from which OpenSSL reads the trusted certificates.
 CERTIFICATES_VARIABLE = "SSL_CERT_FILE"
@@ -14,6 +17,7 @@
 
 def load_program():
     """Imports the node program and returns the function that runs it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     os.environ[CERTIFICATES_VARIABLE] = os.devnull
     gc.disable()
     # Imported only now, when the two settings above are in effect.
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import zlib
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -76,6 +77,9 @@
 
 async def serve(path: str):
     """Runs a node until SIGTERM or SIGINT, then drains it; SIGHUP reloads the settings."""
+    stop_requested = asyncio.Event()
+    # A signal during the start is handled at the next turn of the loop, when the node exists.
+    handle_signals(stop_requested.set, lambda: reload_settings(path, node))
     settings = load_settings_or_exit(path)
     install_sink(settings.node)
     log("node:starting", zone=settings.zone, lease_s=settings.lease_s)
@@ -86,10 +90,6 @@
     await frontend.start(settings.callers, settings.readiness)
     metrics_listener = await serve_metrics(node)
     log("node:started", incarnation=node.election.incarnation)
-    loop, stop_requested = asyncio.get_running_loop(), asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, node)
     await stop_requested.wait()
     await node.drain(frontend)
     await frontend.stop_listening(node.settings.grace_s * CLOSE_FRACTION)
@@ -99,6 +99,14 @@
     await vm_http.close()
 
 
+def handle_signals(stop: Callable[[], None], reload: Callable[[], None]):
+    """Calls ``stop`` on SIGTERM and SIGINT, and ``reload`` on SIGHUP."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop)
+    loop.add_signal_handler(signal.SIGINT, stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+
+
 def reload_settings(path: str, node: Node):
     """Reads the settings again and applies those that may change at run time.
 
