Answer every request that was read on a connection before it is closed

A caller that sends a request before it has the response to the one before on the same connection got no response to the second when the node was stopping: both had been read.

Cause: while a node drains, each response closes its connection, whatever else was read on it.

Evidence: test_pipelined_request_that_was_read_before_the_stop_is_answered failed on the commit before: the first response came, then the end of the connection.

The connection is now closed after the response to the last request that was read. The queue of the library has no public name, so one function looks at it.

--- a/caroblead/platform/drain_test.py
+++ b/caroblead/platform/drain_test.py
@@ -11,6 +11,7 @@
 from ..standin.cluster import KEY, run_scenario, start_site
 from .frontend import Frontend
 from .frontend_test import BODY
+from .jobs import decode_spec
 from .serve import CLOSE_FRACTION
 
 GRACE_S = 2.0
@@ -93,6 +94,7 @@
         site = await start_site(node_count=2)
         node = site.nodes["n0"]
         node.settings = type(node.settings)(**{**_list_fields(node.settings), "grace_s": grace_s})
+        site.caller_records.jobs.update({JOB.format(n): decode_spec(BODY) for n in range(16)})
         frontend = Frontend(node.request_handler, node.is_ready, node.metrics)
         await frontend.start("127.0.0.1:0", "127.0.0.1:0")
         await scenario(Stop(site, frontend))
@@ -230,3 +232,16 @@
         assert cut_off == []
 
     run_stop(scenario)
+
+
+def test_pipelined_request_that_was_read_before_the_stop_is_answered():
+    async def scenario(stop):
+        caller = await stop.connect()
+        stopped = asyncio.create_task(stop.stop())
+        await asyncio.sleep(0.1)
+        caller.send(encode_request("POST", 4, BODY) + encode_request("POST", 5, BODY))
+        assert (await caller.read_response())[0] == 200
+        assert (await caller.read_response())[0] == 200
+        await stopped
+
+    run_stop(scenario)
--- a/caroblead/platform/listener.py
+++ b/caroblead/platform/listener.py
@@ -29,7 +29,7 @@
     """Serves HTTP requests at one address.
 
     ``calls`` maps each connection on which a call is in progress to the task of the call. While
-    ``closing`` is set, each connection is closed after its response.
+    ``closing`` is set, each connection is closed after the response to the last request read on it.
     """
 
     def __init__(self, handler: Handler):
@@ -56,7 +56,7 @@
             response = await self.handler(request)
         finally:
             del self.calls[connection]
-        if self.closing:
+        if self.closing and not _has_read_more(connection):
             response.force_close()
         return response
 
@@ -117,6 +117,14 @@
         await self.abort()
 
 
+def _has_read_more(connection: RequestHandler) -> bool:
+    """Returns whether further requests were read on a connection, whose caller pipelines them.
+
+    The library has no public name for the queue of these requests.
+    """
+    return bool(connection._messages)
+
+
 async def _wait_until_begun():
     for _ in range(TURNS_UNTIL_BEGUN):
         await asyncio.sleep(0)
