Guard what callers see around a planned stop, where nothing was found wrong

The test of requests that are read while connections are closed now sends them in one piece too: without the pause of reading, or with one turn of the loop in place of four, it fails.

--- a/caroblead/platform/drain_test.py
+++ b/caroblead/platform/drain_test.py
@@ -5,16 +5,23 @@
 from collections import Counter
 
 import pytest
+from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from ..core.clock import get_elapsed_s
-from ..standin.cluster import KEY, run_scenario, start_site
+from ..core.clock import get_elapsed_s, use_clocks, use_system_clocks
+from ..core.loop import run_in_virtual_time
+from ..node.peer import ALIVE_TIMEOUT_S
+from ..standin.cluster import KEY, find_leader, publish_config, run_scenario, start_site
 from .frontend import Frontend
 from .frontend_test import BODY
 from .jobs import decode_spec
+from .listener import Listener
 from .serve import CLOSE_FRACTION
 
 GRACE_S = 2.0
+# How often the load balancer asks whether a node is ready.
+PROBE_INTERVAL_S = 1.0
+LARGE_BYTES = 8_000_000
 JOB = "00000000000000b{:x}"
 
 
@@ -57,6 +64,7 @@
     """A node with a frontend that is stopped as the node program stops it."""
 
     def __init__(self, site, frontend):
+        self.site = site
         self.node = site.nodes["n0"]
         self.faults = site.faults_by_node["n0"]
         self.frontend = frontend
@@ -186,8 +194,11 @@
     run_stop(scenario)
 
 
-@pytest.mark.parametrize("turns", range(12))
-def test_request_that_was_read_while_connections_are_closed_is_answered(turns, monkeypatch):
+@pytest.mark.parametrize("late_bytes", [0, 20])
+@pytest.mark.parametrize("turns", range(16))
+def test_request_that_was_read_while_connections_are_closed_is_answered(
+    turns, late_bytes, monkeypatch
+):
     async def scenario(stop):
         caller = await stop.connect()
         await asyncio.sleep(0.1)
@@ -196,10 +207,10 @@
         stopped = asyncio.create_task(stop.frontend.stop_listening())
         for _ in range(turns):
             await asyncio.sleep(0)
-        caller.send(request[:-20])
+        caller.send(request[: len(request) - late_bytes])
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        caller.send(request[-20:])
+        caller.send(request[len(request) - late_bytes :])
         response = await caller.read_response()
         assert response is not None or not stop.has_read_all(caller)
         await stopped
@@ -245,3 +256,99 @@
         await stopped
 
     run_stop(scenario)
+
+
+def test_caller_that_closes_its_connection_does_not_delay_the_stop():
+    async def scenario(stop):
+        for number in range(5):
+            caller = await stop.connect()
+            caller.send(encode_request("POST", number, BODY)[: -number or None])
+            await asyncio.sleep(0.001)
+            caller.writer.transport.abort()
+        await asyncio.sleep(0.1)
+        assert stop.frontend.open_calls == 0
+        assert await stop.stop() < 0.5 * GRACE_S
+
+    run_stop(scenario)
+
+
+def test_calls_are_answered_while_the_leadership_is_handed_over_to_silent_peers():
+    async def scenario(stop):
+        leader = find_leader(stop.site)
+        stop.node = stop.site.nodes[leader]
+
+        async def keep_silent(record):
+            await asyncio.sleep(ALIVE_TIMEOUT_S)
+            return False
+
+        stop.node.peers.is_alive = keep_silent
+        stop.frontend.request_handler = stop.node.request_handler
+        stopped = asyncio.create_task(stop.stop())
+        for number in range(5):
+            caller, started_s = await stop.connect(), get_elapsed_s()
+            caller.send(encode_request("POST", number, BODY))
+            assert (await caller.read_response())[0] == 200
+            assert get_elapsed_s() - started_s < 0.1
+            await asyncio.sleep(0.08 * GRACE_S)
+        await stopped
+
+    run_stop(scenario)
+
+
+def test_new_callers_are_served_until_the_load_balancer_has_missed_two_answers():
+    async def scenario(stop):
+        balancer = await stop.connect()
+        stopped = asyncio.create_task(stop.stop())
+        misses = 0
+        await asyncio.sleep(PROBE_INTERVAL_S - 0.01)
+        while misses < 2:
+            balancer = await stop.connect()
+            balancer.send(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            misses += (await balancer.read_response())[0] == 503
+            caller = await stop.connect()
+            caller.send(encode_request("POST", misses, BODY))
+            assert (await caller.read_response())[0] == 200
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        await stopped
+
+    run_stop(scenario, grace_s=6.0)
+
+
+def test_calls_in_progress_are_answered_across_a_new_configuration():
+    async def scenario(stop):
+        callers = [await stop.connect() for _ in range(10)]
+        for version, caller in enumerate(callers):
+            caller.send(encode_request("POST", version, BODY)[:-5])
+            await asyncio.sleep(0.01)
+            publish_config(stop.site, version + 2)
+            caller.send(BODY[-5:])
+        for caller in callers:
+            assert (await caller.read_response())[0] == 200
+        await stop.stop()
+
+    run_stop(scenario)
+
+
+def test_response_that_is_still_being_sent_is_sent_whole_before_the_listener_is_closed():
+    async def answer(request):
+        return web.Response(body=b"x" * LARGE_BYTES)
+
+    async def main():
+        use_clocks(asyncio.get_running_loop().time, asyncio.get_running_loop().time)
+        listener = Listener(answer)
+        await listener.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.address)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.01)
+        (connection,) = listener.server.connections
+        transport = connection.transport
+        assert transport.get_write_buffer_size() > 0
+        closed = asyncio.create_task(listener.close(5.0))
+        await asyncio.sleep(0.5)
+        assert not closed.done()
+        response = await reader.read()
+        assert len(response) > LARGE_BYTES
+        await closed
+        use_system_clocks()
+
+    run_in_virtual_time(main())
