Ask again for advice after an unexpected error in a request

Cause: an error that ends a task ends its duty too. A step counts as having a request under way from the tick until its answer; an error anywhere between the two was logged, and the step kept waiting for an answer that could not come.

Evidence: test_error_in_a_request_for_advice_does_not_leave_its_step_waiting failed before: with an error in every third choice of VMs, jobs stayed queued and eight steps weren't finished.

The mark is now removed in a `finally` block around the whole request, and a request that failed unexpectedly is repeated after the same pause as one that the service refused.

--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -135,6 +135,18 @@
 
 
 async def _ask_advice(state: TermState, step: StepWork, service: str):
+    """Asks about a step, which isn't pending any more afterwards, whatever happens."""
+    advice = step.advice
+    # Also delays the next request after an unexpected error.
+    advice.retry_s = get_elapsed_s() + ADVICE_RETRY_S
+    try:
+        await _request_advice(state, step, service)
+    finally:
+        advice.pending = False
+        state.wake.set()
+
+
+async def _request_advice(state: TermState, step: StepWork, service: str):
     queue = step.work.job.queue
     advice = step.advice
     names = choose_vms_to_ask(state.fleet, service, advice)
@@ -147,7 +159,6 @@
         expected_s,
         rank_step(step, get_wall_s()),
     )
-    advice.pending = False
     if answer.tickets is None:
         advice.retry_s = get_elapsed_s() + ADVICE_RETRY_S
         log("advice:failed", step=str(step.key), vms=len(names))
@@ -156,6 +167,7 @@
         advice.allowed.update(answer.tickets)
         advice.tickets = dict(answer.tickets)
         advice.received_s = get_elapsed_s()
+        advice.retry_s = 0.0
         log_routine(
             "advice:got",
             step=str(step.key),
@@ -163,7 +175,6 @@
             allowed=len(answer.tickets),
             took_s=round(advice.received_s - started_s, 3),
         )
-    state.wake.set()
 
 
 def _get_ticket_end(step: StepWork) -> float:
--- a/caroblead/node/loop_test.py
+++ b/caroblead/node/loop_test.py
@@ -9,7 +9,7 @@
 from ..dispatch.watch import Watch
 from ..jobs.data import JobState
 from ..jobs.ledger import find_state
-from ..standin.cluster import find_leader, run_scenario, start_site, submit
+from ..standin.cluster import ADVISED, find_leader, run_scenario, start_site, submit
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
 from .appender import Appender
@@ -76,3 +76,16 @@
 def test_errors_of_a_consumer_do_not_end_the_reading_of_the_log(monkeypatch):
     fail_every_third_call(monkeypatch, Node, "_consume")
     run_jobs()
+
+
+def test_error_in_a_request_for_advice_does_not_leave_its_step_waiting(monkeypatch):
+    fail_every_third_call(monkeypatch, tick, "choose_vms_to_ask")
+
+    async def scenario():
+        site = await start_site()
+        for _ in range(6):
+            await submit(site, "n0", make_spec(make_step(2), seconds=0.3), ADVISED.name)
+        await asyncio.sleep(10)
+        return site
+
+    assert check_site(run_scenario(scenario)) == []
