Count one failed run of a gang once, also under two leaders

Cause: a decision that lasts rested on something that was only in memory. Members of one run of a gang may fail together, and only the first counts; the number of that run was not recorded. When one end was recorded and its leader then died, the next one heard of another member's end and counted again.

The number is now part of the progress record, in a dictionary of extras at the end of a step's row that is left out when empty. Records of earlier builds are read as before, which a test shows; an earlier build can't read a row with extras.

--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -266,3 +266,27 @@
         return site
 
     run_scenario(scenario)
+
+
+def test_gang_that_failed_once_under_two_leaders_is_tried_again():
+    jobs = []
+
+    async def scenario():
+        site = await start_site(vm_count=2)
+        leader = find_leader(site)
+        step = make_step(2, gang=True, max_per_vm=1)
+        jobs.append(await submit(site, "n0", make_spec(step, failing_runs=1), "reviews"))
+        await asyncio.sleep(0.3)
+        # The leader hears of the failure of one member, and its successor of that of the other.
+        site.vm_simulator.cut = {(leader, "vm-1")}
+        while not any(line.kind == "noted failed" for line in site.vm_simulator.history):
+            await asyncio.sleep(0.01)
+        await kill_node(site, leader)
+        await asyncio.sleep(12)
+        return site
+
+    site = run_scenario(scenario)
+    judge(site)
+    assert {find_state(node.ledger, jobs[0]) for node in site.nodes.values()} == {JobState.DONE}
+    failed = [line.number for line in site.vm_simulator.history if line.kind == "failed"]
+    assert failed == [1, 1]
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -94,6 +94,8 @@
     JobState.CANCELLED: b"x",
 }
 _STATES = {letter: state for state, letter in _STATE_LETTERS.items()}
+# The names of the extras of a step's row in a progress record.
+_LAST_FAILED_RUN = "g"
 _STEP_FIELDS = StepSpec.__dataclass_fields__
 _SCALAR_STEP_FIELDS = [name for name in _STEP_FIELDS if name not in ("need", "after")]
 
@@ -169,19 +171,28 @@
     letter = _STATE_LETTERS[progress.state]
     if progress.state in FINAL_STATES:
         return letter + orjson.dumps(at_s)
-    steps = [
-        [
-            occurrence,
-            step,
-            step_progress.last_run,
-            sorted(step_progress.done),
-            list(step_progress.failures.items()),
-            [[run.task, run.number, run.vm, run.incarnation] for run in step_progress.runs],
-            list(step_progress.checkpoints.items()),
-        ]
-        for (occurrence, step), step_progress in progress.steps.items()
+    return letter + _compress_json([_encode_row(*item) for item in progress.steps.items()])
+
+
+def _encode_row(place: tuple[int, int], step_progress: StepProgress) -> list:
+    row = [
+        *place,
+        step_progress.last_run,
+        sorted(step_progress.done),
+        list(step_progress.failures.items()),
+        [[run.task, run.number, run.vm, run.incarnation] for run in step_progress.runs],
+        list(step_progress.checkpoints.items()),
     ]
-    return letter + _compress_json(steps)
+    extras = _encode_extras(step_progress)
+    return [*row, extras] if extras else row
+
+
+def _encode_extras(step_progress: StepProgress) -> dict:
+    """Returns what most steps don't have, by short names; it ends a row unless it is empty."""
+    extras = {}
+    if step_progress.last_failed_run:
+        extras[_LAST_FAILED_RUN] = step_progress.last_failed_run
+    return extras
 
 
 def read_state(value: bytes) -> JobState:
@@ -199,19 +210,24 @@
     progress = Progress(read_state(value))
     if progress.state in FINAL_STATES:
         return progress
-    for occurrence, step, last_run, done, failures, runs, checkpoints in _decompress_json(
-        value[1:]
-    ):
-        progress.steps[occurrence, step] = StepProgress(
-            last_run,
-            set(done),
-            dict(map(tuple, failures)),
-            [RunRecord(*run) for run in runs],
-            dict(map(tuple, checkpoints)),
-        )
+    for row in _decompress_json(value[1:]):
+        occurrence, step, *fields = row
+        progress.steps[occurrence, step] = _decode_row(*fields)
     return progress
 
 
+def _decode_row(last_run, done, failures, runs, checkpoints, extras=None) -> StepProgress:
+    extras = extras or {}
+    return StepProgress(
+        last_run,
+        set(done),
+        dict(map(tuple, failures)),
+        [RunRecord(*run) for run in runs],
+        dict(map(tuple, checkpoints)),
+        extras.get(_LAST_FAILED_RUN, 0),
+    )
+
+
 def encode_term(term: Term) -> bytes:
     """Encodes a leader term."""
     return orjson.dumps([term.number, term.node, term.incarnation])
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -1,5 +1,8 @@
 """Encoding of records, and the effect that the order of records has on the ledger."""
 
+import zlib
+
+import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -46,6 +49,7 @@
     failures=st.dictionaries(COUNTS, COUNTS),
     runs=st.lists(RUNS, max_size=3),
     checkpoints=st.dictionaries(COUNTS, st.text(max_size=3)),
+    last_failed_run=COUNTS,
 )
 
 
@@ -65,6 +69,13 @@
     assert decode_progress(encode_progress(progress, 1.0)) == progress
 
 
+def test_progress_of_an_earlier_build_without_extras_is_read():
+    rows = [[0, 1, 3, [0], [[1, 2]], [[1, 3, "v", 7]], [[1, "c"]]]]
+    found = decode_progress(b"r" + zlib.compress(orjson.dumps(rows)))
+    runs = [RunRecord(1, 3, "v", 7)]
+    assert found.steps == {(0, 1): StepProgress(3, {0}, {1: 2}, runs, {1: "c"})}
+
+
 def make_record(kind, name, value):
     return KeyedRecord(make_key(kind, name), value)
 
