Restart the ended tasks of a lasting step before any other work

Cause: a rank made for work with a due time was applied to work that has none. A lasting step is past its target for nearly all of its life, so it stood in the last tier: behind every other step, and kept off every VM that a gang had reserved, for as long as that gang waited.

A lasting step of which all tasks have been started counts as serving, which is the first tier: no reservation blocks it, and it may evict less urgent runs as work in time may. One that hasn't yet is late at most and never useless.

--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -290,3 +290,32 @@
     assert {find_state(node.ledger, jobs[0]) for node in site.nodes.values()} == {JobState.DONE}
     failed = [line.number for line in site.vm_simulator.history if line.kind == "failed"]
     assert failed == [1, 1]
+
+
+def find_longest_gap_s(history, job):
+    """Returns the longest time between the end of a run of a one-task job and the next start."""
+    events = [line for line in history if line.task.job == job and " " not in line.kind]
+    pairs = zip(events[1::2], events[2::2], strict=False)
+    return max((start.at_s - end.at_s for end, start in pairs), default=float("inf"))
+
+
+def test_lasting_task_restarts_within_seconds_beside_a_gang_that_finds_no_room():
+    jobs = []
+
+    async def scenario():
+        site = await start_site(vm_count=3)
+        lasting = make_step(1, endless=True)
+        jobs.append(await submit(site, "n0", make_spec(lasting, seconds=7), "reviews"))
+        # A task on each VM keeps the gang from its room for longer than the scenario takes.
+        long = make_step(3, max_per_vm=1, need=Resources(1000, 100))
+        await submit(site, "n0", make_spec(long, seconds=60))
+        await asyncio.sleep(1)
+        gang = make_step(6, gang=True, need=Resources(2000, 100))
+        await submit(site, "n0", make_spec(gang), "reviews")
+        await asyncio.sleep(25)
+        return site
+
+    site = run_scenario(scenario)
+    history = site.vm_simulator.history
+    assert len([line for line in history if line.kind == "start" and line.task.job in jobs]) == 4
+    assert find_longest_gap_s(history, jobs[0]) < 3.0
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -219,7 +219,7 @@
     state.searches_left -= 1
     step.next_search_s = state.now_s + SEARCH_GAP_S
     chosen = None
-    if rank[0] is Tier.IN_TIME and state.evictions_left > 0:
+    if rank[0] <= Tier.IN_TIME and state.evictions_left > 0:
         chosen = choose_evictions(
             step, candidates, state.free, min(missing, allowance), state.now_s
         )
--- a/caroblead/dispatch/rank.py
+++ b/caroblead/dispatch/rank.py
@@ -1,7 +1,9 @@
 """Ranks the waiting steps in the order in which they are served.
 
+A lasting step that has served its users goes first, since they are without a task that has ended.
 Work that can still be done in time goes before work that is already late or that its team submitted
-beyond its share, and both go before work that is too late to be of use. This is meant for overload,
+beyond its share, and both go before work that is too late to be of use, which a lasting step never
+is. This is meant for overload,
 in which serving the oldest work first would make all of it late. Within a tier the priority of the
 queue decides, and then the time by which the job should be done.
 """
@@ -22,9 +24,10 @@
 class Tier(enum.IntEnum):
     """How much it is worth to the caller to serve a step now; the most valuable tier is first."""
 
-    IN_TIME = 0
-    LATE = 1
-    USELESS = 2
+    SERVING = 0
+    IN_TIME = 1
+    LATE = 2
+    USELESS = 3
 
 
 @dataclass(slots=True)
@@ -45,10 +48,12 @@
 
 
 def find_tier(step: StepWork, wall_s: float) -> Tier:
-    """Returns the tier of a step: in time, late, or of no use any more."""
-    work = step.work
+    """Returns the tier of a step: serving, in time, late, or of no use any more."""
+    work, endless = step.work, step.spec.endless
+    if endless and step.step_progress.last_run >= step.spec.count:
+        return Tier.SERVING
     began_s = work.due_s - work.target_s
-    if wall_s > began_s + USELESS_AFTER_TARGETS * work.target_s:
+    if not endless and wall_s > began_s + USELESS_AFTER_TARGETS * work.target_s:
         return Tier.USELESS
     if work.surplus or wall_s > work.due_s:
         return Tier.LATE
--- a/caroblead/dispatch/rank_test.py
+++ b/caroblead/dispatch/rank_test.py
@@ -137,3 +137,35 @@
     for tick in range(1, 4):
         plan = plan_starts([gang, small], fleet, Configuration(), NOW_S + tick / 10, 20.0)
         assert plan.placements == []
+
+
+def make_serving_step(accepted_s, last_run):
+    """Returns a lasting step of two tasks, one of which runs on no VM now."""
+    spec = StepSpec(2, Resources(1000, 1), 1.0, endless=True)
+    (step,) = make_steps(spec, queue=SLACK, name="service")
+    work = open_job(Job("service", "t", SLACK, JobSpec("", (spec,)), accepted_s), Progress())
+    step.work.due_s, step.work.target_s = work.due_s, work.target_s
+    step.step_progress.last_run = last_run
+    step.waiting = {1}
+    return step
+
+
+def test_ended_task_of_an_old_lasting_step_starts_before_new_urgent_work():
+    fleet = make_fleet(1, Resources(1000, 1000))
+    fresh, serving = make_step(URGENT, 99.9, "fresh"), make_serving_step(10.0, 2)
+    plan = plan_starts([fresh, serving], fleet, Configuration(), NOW_S, 100.0)
+    assert [item.step.key.job for item in plan.placements] == ["service"]
+
+
+def test_vms_kept_for_a_gang_do_not_keep_an_ended_lasting_task_from_its_restart():
+    fleet = make_fleet(3)
+    gang = make_blocked_gang(fleet, 5.0)
+    plan_starts([gang], fleet, Configuration(), NOW_S, 1.0)
+    assert len(fleet.reservations) == 3
+    plan = plan_starts([gang, make_serving_step(-90.0, 2)], fleet, Configuration(), NOW_S, 1.0)
+    assert [item.step.key.job for item in plan.placements] == ["service"]
+
+
+def test_lasting_step_that_never_had_all_its_tasks_is_late_but_of_use():
+    assert find_tier(make_serving_step(10.0, 1), 100.0) is Tier.LATE
+    assert find_tier(make_serving_step(99.9, 1), 100.0) is Tier.IN_TIME
