Keep no VM for a gang whose room is held by lasting runs

Cause: a wait without a look at whether it can end. VMs were reserved for a gang as if all of their runs would end, but lasting runs do not; the reservation was extended with every tick.

Evidence: test_gang_keeps_no_vm_whose_room_is_held_by_a_lasting_run reaches its claim only with the new field; with the choice of VMs as before it fails, since the gang reserves all three VMs.

VMs are now chosen by the room that they have once all runs but the lasting ones have ended.

--- a/caroblead/dispatch/eviction.py
+++ b/caroblead/dispatch/eviction.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from ..core.resource import Resources, add, fits
+from ..core.resource import Resources, add, subtract
 from .fleet import Run, RunPhase, VmRow
 from .work import StepWork, get_booked_need
 
@@ -112,15 +112,26 @@
 ) -> list[VmRow]:
     """Returns the VMs to reserve for a gang until enough of their runs have ended.
 
-    These are the VMs with the most free cores that could hold the gang when empty.
+    These are the VMs with the most free cores that could hold the gang once their runs have ended,
+    but for the endless ones.
     """
     need = get_booked_need(step.spec)
-    fitting = [row for row in candidates if fits(need, row.listed.capacity)]
+    counts = {row.name: count_fit(need, _compute_final_room(row)) for row in candidates}
+    fitting = [row for row in candidates if counts[row.name]]
     fitting.sort(key=lambda row: (-free[row.name].millicores, row.name))
     rows, task_count = [], 0
     for row in fitting:
         if task_count >= missing:
             break
         rows.append(row)
-        task_count += count_fit(need, row.listed.capacity)
+        task_count += counts[row.name]
     return rows if task_count >= missing else []
+
+
+def _compute_final_room(row: VmRow) -> Resources:
+    """Returns the resources of a VM that are free when all its runs that end have ended."""
+    room = row.listed.capacity
+    for run in row.runs.values():
+        if run.endless and run.wanted:
+            room = subtract(room, run.need)
+    return room
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -46,11 +46,12 @@
 
     ``order_answered_s`` is when the VM last answered an order about it. ``unanswered`` is set when
     an order got no answer and may take effect late. ``wanted`` is false once its end no longer
-    matters, such as after a cancellation. An ``evictable`` run may be stopped for more urgent work,
-    and one that ``has_checkpoints`` then resumes from the last one. A run that ``expects_progress``
-    counts as stalled when it shows none: its progress became ``percent`` at ``progressed_s``. A run
-    of a former term has no ``started_s``. ``need`` is what it books on its VM, and ``charge`` what
-    counts toward the quota of its team; ``None`` stands for ``need``.
+    matters, such as after a cancellation. An ``evictable`` run may be stopped for more urgent
+    work, and one that ``has_checkpoints`` then resumes from the last one. A run that
+    ``expects_progress`` counts as stalled when it shows none: its progress became ``percent``
+    at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
+    off. A run of a former term has no ``started_s``. ``need`` is what it books on its VM, and
+    ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
     other runs of a VM leave free, works at ``pace`` percent of its speed; the pace of a run of a
@@ -77,6 +78,7 @@
     checkpoint: str = ""
     priority: int = 0
     evictable: bool = False
+    endless: bool = False
     has_checkpoints: bool = False
     target_ms: int = 0
     fills: bool = False
--- a/caroblead/dispatch/rank_test.py
+++ b/caroblead/dispatch/rank_test.py
@@ -169,3 +169,14 @@
 def test_lasting_step_that_never_had_all_its_tasks_is_late_but_of_use():
     assert find_tier(make_serving_step(10.0, 1), 100.0) is Tier.LATE
     assert find_tier(make_serving_step(99.9, 1), 100.0) is Tier.IN_TIME
+
+
+def test_gang_keeps_no_vm_whose_room_is_held_by_a_lasting_run():
+    fleet = make_fleet(3)
+    gang = make_blocked_gang(fleet, 5.0)
+    for run in fleet.rows["v1"].runs.values():
+        run.endless = True
+    (small,) = make_steps(StepSpec(1, Resources(1000, 1), 1.0), queue=SLACK, name="s")
+    plan = plan_starts([gang, small], fleet, Configuration(), NOW_S, 1.0)
+    assert fleet.reservations == {}
+    assert [item.step.key.job for item in plan.placements] == ["s"]
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -157,6 +157,7 @@
     run.has_checkpoints = spec.checkpoints
     run.estimate_s = spec.estimate_s
     run.expects_progress = not (spec.endless or spec.fills)
+    run.endless = spec.endless
     run.target_ms, run.fills = spec.target_ms, spec.fills
     run.evictable = not (spec.gang or spec.endless or spec.miss_tolerance)
     return run
