Let the reservations of a gang expire when their VMs no longer suffice

Cause: a wait without a look at whether it can end. A gang that held any reservation extended it with every tick and never chose VMs again, also when one of the reserved VMs had gone and the others were too few.

Evidence: test_gang_gives_up_its_vms_when_one_of_them_is_lost failed before: the two VMs that remained were still kept after two seconds, and the small job was not placed.

A reservation is now extended only if the reserved VMs that are usable could still hold the gang; otherwise it expires, and the gang searches again.

--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -212,7 +212,7 @@
         return
     if state.reservations.count(step.key):
         if step.spec.gang:
-            state.reservations.extend(step.key)
+            _extend_reservations(state, step, candidates, missing)
         return
     if state.now_s < step.next_search_s or state.searches_left <= 0:
         return
@@ -232,6 +232,13 @@
         state.reservations.reserve(step.key, rank, rows)
 
 
+def _extend_reservations(state: PlanningState, step: StepWork, candidates, missing: int):
+    """Extends the reservations of a gang if their VMs still suffice for it; else they expire."""
+    kept = [row for row in candidates if state.reservations.is_reserved_for(row.name, step.key)]
+    if choose_vms_to_reserve(step, kept, state.free, missing):
+        state.reservations.extend(step.key)
+
+
 def _add_placements(state: PlanningState, step: StepWork, chosen: list[tuple[int, VmRow]]):
     _book_room(state, step, chosen)
     for index, row in chosen:
--- a/caroblead/dispatch/rank_test.py
+++ b/caroblead/dispatch/rank_test.py
@@ -180,3 +180,17 @@
     plan = plan_starts([gang, small], fleet, Configuration(), NOW_S, 1.0)
     assert fleet.reservations == {}
     assert [item.step.key.job for item in plan.placements] == ["s"]
+
+
+def test_gang_gives_up_its_vms_when_one_of_them_is_lost():
+    fleet = make_fleet(3)
+    gang = make_blocked_gang(fleet, 5.0)
+    (small,) = make_steps(StepSpec(1, Resources(1000, 1), 1.0), queue=SLACK, name="s")
+    plan_starts([gang], fleet, Configuration(), NOW_S, 1.0)
+    assert len(fleet.reservations) == 3
+    fleet.rows["v1"].in_registry = False
+    for tick in range(20):
+        plan = plan_starts([gang, small], fleet, Configuration(), NOW_S + tick / 10, 1.0)
+        for name in ("v0", "v2"):
+            fleet.rows[name].heard_s = NOW_S + tick / 10
+    assert [item.step.key.job for item in plan.placements] == ["s"]
--- a/caroblead/dispatch/reservation.py
+++ b/caroblead/dispatch/reservation.py
@@ -53,6 +53,11 @@
         """Returns how many VMs are reserved for a step."""
         return self.counts[step]
 
+    def is_reserved_for(self, vm: str, step: StepKey) -> bool:
+        """Returns whether a VM is reserved for a step."""
+        found = self.by_vm.get(vm)
+        return found is not None and found.step == step
+
     def reserve(self, step: StepKey, rank: tuple, rows: list[VmRow]):
         """Reserves VMs for a step, also those that were reserved for another."""
         for row in rows:
