Respect the limit of tasks per VM when room is made for a step

Cause: one rule applied in one of three places. Placement observed the limit of a step's tasks per VM; the choice of VMs to reserve and of runs to evict counted by room alone.

Evidence: test_gang_limited_to_one_task_a_vm_keeps_no_vms_when_there_are_too_few and test_step_limited_to_one_task_a_vm_evicts_nothing_where_it_may_not_start failed before: one VM was reserved for a gang of four that needs four VMs, and a run was evicted on a VM that the step may not use.

Both choices now count at most that many tasks for each VM, and VMs at the limit are no candidates.

--- a/caroblead/dispatch/eviction.py
+++ b/caroblead/dispatch/eviction.py
@@ -63,8 +63,9 @@
     priority = step.work.job.queue.priority
     found = Evictions()
     options = []
+    limit = _limit_per_vm(step, missing)
     for row in candidates:
-        option = _evaluate_vm(row, free[row.name], need, priority, missing, now_s)
+        option = _evaluate_vm(row, free[row.name], need, priority, limit, now_s)
         if option is not None:
             options.append(option)
     options.sort(key=lambda option: (option[0] / option[1], option[3].name))
@@ -81,6 +82,11 @@
     return found
 
 
+def _limit_per_vm(step: StepWork, missing: int) -> int:
+    """Returns how many of the missing tasks of a step may start on one VM."""
+    return min(missing, step.spec.max_per_vm or missing)
+
+
 def _evaluate_vm(row: VmRow, free: Resources, need: Resources, priority: int, limit: int, now_s):
     """Returns the loss, the number of tasks, the runs to stop and the VM; ``None`` if none fit."""
     victims = [
@@ -116,7 +122,8 @@
     but for the endless ones.
     """
     need = get_booked_need(step.spec)
-    counts = {row.name: count_fit(need, _compute_final_room(row)) for row in candidates}
+    limit = _limit_per_vm(step, missing)
+    counts = {row.name: min(limit, count_fit(need, _compute_final_room(row))) for row in candidates}
     fitting = [row for row in candidates if counts[row.name]]
     fitting.sort(key=lambda row: (-free[row.name].millicores, row.name))
     rows, task_count = [], 0
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -5,6 +5,7 @@
 runs, and VMs may be reserved for a gang. A gang is placed whole or not at all.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..core.resource import NOTHING, Resources, add, fits, subtract
@@ -179,7 +180,8 @@
         _add_placements(state, step, chosen)
     missing = len(step.waiting) - len(chosen)
     if missing and candidates:
-        _make_room(state, step, rank, candidates, team, missing)
+        open_rows = _list_open_for(step, candidates, chosen)
+        _make_room(state, step, rank, open_rows, team, missing)
 
 
 def _may_fit_elsewhere(state: PlanningState, pool: Pool, step: StepWork, need: Resources) -> bool:
@@ -293,11 +295,7 @@
 
 def _count_slots(step: StepWork, candidates, state: PlanningState, need: Resources):
     """Returns how many of a step's tasks fit on each VM, with its score, best fit first."""
-    running_per_vm: dict[str, int] = {}
-    if step.spec.max_per_vm:
-        for runs in step.active.values():
-            for run in runs:
-                running_per_vm[run.vm.name] = running_per_vm.get(run.vm.name, 0) + 1
+    running_per_vm = _count_tasks_per_vm(step, ()) if step.spec.max_per_vm else {}
     slots = []
     for row in candidates:
         free = state.free[row.name]
@@ -321,6 +319,22 @@
     return slots
 
 
+def _count_tasks_per_vm(step: StepWork, chosen) -> Counter[str]:
+    """Returns how many tasks of a step run on each VM or have been chosen to."""
+    counts = Counter(run.vm.name for runs in step.active.values() for run in runs)
+    counts.update(row.name for _, row in chosen)
+    return counts
+
+
+def _list_open_for(step: StepWork, candidates, chosen) -> list[VmRow]:
+    """Returns the candidates that may take one more task of a step, if they get room."""
+    limit = step.spec.max_per_vm
+    if not limit:
+        return candidates
+    counts = _count_tasks_per_vm(step, chosen)
+    return [row for row in candidates if counts[row.name] < limit]
+
+
 def _score(step: StepWork, row: VmRow, free: Resources, need: Resources) -> float:
     capacity = row.listed.capacity
     cores = (free.millicores - need.millicores) / (capacity.millicores or 1)
--- a/caroblead/dispatch/rank_test.py
+++ b/caroblead/dispatch/rank_test.py
@@ -194,3 +194,27 @@
         for name in ("v0", "v2"):
             fleet.rows[name].heard_s = NOW_S + tick / 10
     assert [item.step.key.job for item in plan.placements] == ["s"]
+
+
+def test_gang_limited_to_one_task_a_vm_keeps_no_vms_when_there_are_too_few():
+    fleet = make_fleet(3)
+    for row in fleet.rows.values():
+        add_running(fleet, row, 1, 1, False, NOW_S - 1).evictable = False
+    queue = JobQueue("g", "h", "/g/", "s", priority=1, latency_s=5.0)
+    spec = StepSpec(4, Resources(1000, 1), 0.5, gang=True, max_per_vm=1)
+    (gang,) = make_steps(spec, queue=queue, name="g")
+    (small,) = make_steps(StepSpec(1, Resources(1000, 1), 1.0), queue=SLACK, name="s")
+    plan = plan_starts([gang, small], fleet, Configuration(), NOW_S, 1.0)
+    assert fleet.reservations == {}
+    assert [item.step.key.job for item in plan.placements] == ["s"]
+
+
+def test_step_limited_to_one_task_a_vm_evicts_nothing_where_it_may_not_start():
+    fleet = make_fleet(1)
+    row = fleet.rows["v0"]
+    add_running(fleet, row, 1, 2, True, NOW_S - 50)
+    add_running(fleet, row, 2, 2, True, NOW_S - 50)
+    spec = StepSpec(3, Resources(2000, 1), 1.0, max_per_vm=1)
+    (step,) = make_steps(spec, queue=URGENT, name="u")
+    plan = plan_starts([step], fleet, Configuration(), NOW_S, 1.0)
+    assert (len(plan.placements), plan.evictions) == (1, [])
