Keep the recorded progress of a job that is read during a term

What callers would see: tasks of a job that were done run again, or its runs are stopped as unknown and its attempts counted anew.

Cause: one event handled in two ways. A job that a leader takes over at the begin of its term gets its recorded progress; one that it reads later got none, although the ledger keeps progress that was read before its job (the log drops the older of two copies of a job's record).

Evidence: test_job_read_after_its_progress_in_a_term_starts_no_done_task_again failed before: the done task 0 started as run 1, and task 1 as run 2 again. The event is made by the test: a leader has read the log to nearly its end before its term begins, so it should be very rare on a site, and was not seen.

Both ways now lead through the same takeover.

--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -127,9 +127,12 @@
         pairs = [(_decode_or_log(stored), stored.encoded_progress) for stored in stored_jobs]
         found = [(job, progress) for job, progress in pairs if job is not None]
         for job, encoded_progress in sorted(found, key=lambda pair: pair[0].accepted_s):
-            if not call_and_log_errors(self._take_over, job, encoded_progress):
-                # Without its recorded runs, a task of the job could start a second time.
-                self.state.open_jobs.pop(job.id, None)
+            self._take_over_or_leave_out(job, encoded_progress)
+
+    def _take_over_or_leave_out(self, job: Job, encoded_progress: bytes):
+        if not call_and_log_errors(self._take_over, job, encoded_progress):
+            # Without its recorded runs, a task of the job could start a second time.
+            self.state.open_jobs.pop(job.id, None)
 
     def _take_over(self, job: Job, encoded_progress: bytes) -> bool:
         """Opens a job with its recorded runs and returns true."""
@@ -175,9 +178,9 @@
         if isinstance(change, JobAdded):
             job = _decode_or_log(change.job)
             if job is not None:
-                work = self._open_job(job, Progress())
-                if job.cancelled:
-                    self._finish(work, JobState.CANCELLED)
+                # Progress can be read before its job, when the log has dropped the older of two
+                # copies of the job.
+                self._take_over_or_leave_out(job, change.job.encoded_progress)
                 self.state.wake.set()
         elif isinstance(change, JobCancelled):
             work = self.state.open_jobs.get(change.job_id)
--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from ..core.clock import get_wall_s
 from ..core.resource import Resources
-from ..jobs.data import JobState
-from ..jobs.ledger import find_state
-from ..jobs.record import KeyedRecord, RecordKind, make_key
+from ..jobs.data import Job, JobState, Progress, StepProgress
+from ..jobs.ledger import JobAdded, StoredJob, find_state
+from ..jobs.record import KeyedRecord, RecordKind, encode_job, encode_progress, make_key
 from ..standin.cluster import (
     ADVISED,
+    QUEUES,
     find_leader,
     kill_node,
     make_listed_vm,
@@ -319,3 +321,21 @@
     history = site.vm_simulator.history
     assert len([line for line in history if line.kind == "start" and line.task.job in jobs]) == 4
     assert find_longest_gap_s(history, jobs[0]) < 3.0
+
+
+def test_job_read_after_its_progress_in_a_term_starts_no_done_task_again():
+    async def scenario():
+        site = await start_site()
+        leader = site.nodes[find_leader(site)].leader
+        spec = make_spec(make_step(2))
+        site.caller_records.jobs["a"], site.caller_records.queues["a"] = spec, QUEUES["checks"]
+        job = Job("a", "north", QUEUES["checks"], spec, get_wall_s())
+        progress = Progress(JobState.RUNNING, {(0, 0): StepProgress(last_run=2, done={0})})
+        stored = StoredJob("a", encode_job(job), encoded_progress=encode_progress(progress, 1.0))
+        leader.apply_change(JobAdded(stored))
+        await asyncio.sleep(2)
+        return site
+
+    site = run_scenario(scenario)
+    starts = [line for line in site.vm_simulator.history if line.kind == "start"]
+    assert [(line.task.index, line.number) for line in starts] == [(1, 3)]
