Show accepted jobs that the leader can't serve

What callers see: a job whose record or progress can't be read stays in its last recorded state for good, and nothing of it runs. Operators saw a traceback without the id of the job for malformed progress, and no number.

Cause: a fault that is survived but told to nobody. Nothing of ours has been seen to write such a record. Serving the job all the same could run a task twice, and showing it as failed would be without cause, so it is still left out.

Evidence: test_job_that_can_not_be_served_is_counted_in_the_metrics failed before: there was no such number (two jobs, in the term that reads them and in the next).

--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -72,6 +72,7 @@
         self.commit = CommitQueue(dependencies.log, term, term_confirmed_s, self.lose_term)
         self.order_sender = OrderSender(self.fleet, dependencies.vms, term, self)
         self.state = TermState(dependencies, term, self.fleet, self.commit, self.order_sender)
+        self.unserved_jobs: set[str] = set()
         self.tasks: list[asyncio.Task] = []
         self.timers: list[Timer] = []
 
@@ -124,15 +125,26 @@
 
     def _take_over_jobs(self):
         stored_jobs = self.dependencies.ledger.jobs.values()
-        pairs = [(_decode_or_log(stored), stored.encoded_progress) for stored in stored_jobs]
+        pairs = [(self._decode(stored), stored.encoded_progress) for stored in stored_jobs]
         found = [(job, progress) for job, progress in pairs if job is not None]
         for job, encoded_progress in sorted(found, key=lambda pair: pair[0].accepted_s):
             self._take_over_or_leave_out(job, encoded_progress)
 
+    def _decode(self, stored: StoredJob) -> Job | None:
+        """Returns the job of a record, or ``None`` for a malformed one, which is logged."""
+        try:
+            return stored.decode()
+        except MALFORMED as error:
+            self.unserved_jobs.add(stored.id)
+            log("job:unreadable", job=stored.id, error=f"{type(error).__name__}: {error}")
+            return None
+
     def _take_over_or_leave_out(self, job: Job, encoded_progress: bytes):
         if not call_and_log_errors(self._take_over, job, encoded_progress):
             # Without its recorded runs, a task of the job could start a second time.
             self.state.open_jobs.pop(job.id, None)
+            self.unserved_jobs.add(job.id)
+            log("job:unreadable", job=job.id, error="its progress can't be taken over")
 
     def _take_over(self, job: Job, encoded_progress: bytes) -> bool:
         """Opens a job with its recorded runs and returns true."""
@@ -176,7 +188,7 @@
     def apply_change(self, change: Change):
         """Handles a change that was read from the log."""
         if isinstance(change, JobAdded):
-            job = _decode_or_log(change.job)
+            job = self._decode(change.job)
             if job is not None:
                 # Progress can be read before its job, when the log has dropped the older of two
                 # copies of the job.
@@ -377,12 +389,3 @@
             for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
                 self.commit.add(KeyedRecord(make_key(kind, name), b""))
             ledger.ended_at_s.pop(name)
-
-
-def _decode_or_log(stored: StoredJob) -> Job | None:
-    """Returns the job of a record, or ``None`` for a malformed record, which is logged."""
-    try:
-        return stored.decode()
-    except MALFORMED as error:
-        log("job:unreadable", job=stored.id, error=f"{type(error).__name__}: {error}")
-        return None
--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -250,6 +250,26 @@
     judge(run_scenario(scenario))
 
 
+def test_job_that_can_not_be_served_is_counted_in_the_metrics():
+    metrics = []
+
+    async def scenario():
+        site = await start_site()
+        for name, value in {"j/a": b"not a job", "p/b": b"r not a progress"}.items():
+            site.ledger.append([KeyedRecord(name, value)], None)
+        job = Job("b", "north", QUEUES["checks"], make_spec(make_step(1)), get_wall_s())
+        site.ledger.append([KeyedRecord("j/b", encode_job(job))], None)
+        await asyncio.sleep(1)
+        metrics.append(site.nodes[find_leader(site)].write_metrics())
+        await kill_node(site, find_leader(site))
+        await asyncio.sleep(5)
+        metrics.append(site.nodes[find_leader(site)].write_metrics())
+        return site
+
+    run_scenario(scenario)
+    assert ["caroblead_jobs_unserved 2" in text for text in metrics] == [True, True]
+
+
 def test_malformed_progress_of_one_job_does_not_keep_a_new_leader_from_the_others():
     async def scenario():
         site = await start_site()
