Ask for advice about VMs with room before full ones

Cause: a choice by the wrong order. A request names a hundred VMs at most, and those known as allowed came first, full or not; once a hundred were allowed, no other VM was ever asked about.

Evidence: test_full_vms_that_are_allowed_do_not_keep_others_with_room_from_being_asked_about failed before: none of the twenty VMs with room was among the hundred named.

VMs with room for a task come first. A step also forgets the allowed VMs that a request had no place for: it might choose one of them and would never have a ticket for it, which test_step_has_a_ticket_for_every_vm_that_it_may_choose shows (it fails without that part).

--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -4,6 +4,7 @@
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log, log_routine
+from ..core.resource import Resources, fits
 from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
 from .fleet import Fleet, Run, book_run
@@ -118,10 +119,11 @@
         state.order_sender.spawn(await_and_log_errors(state.order_sender.start(run, payload)))
 
 
-def choose_vms_to_ask(fleet: Fleet, service: str, advice: StepAdvice) -> list[str]:
-    """Returns the VMs to ask about: first those known as allowed, then those not yet asked about.
+def choose_vms_to_ask(fleet: Fleet, service: str, advice: StepAdvice, need: Resources) -> list[str]:
+    """Returns the VMs to ask about: first those that have room for a task of the step.
 
-    Each of the two groups is in order of free cores, most first.
+    Of these and of the others, those known as allowed come before those not yet asked about, and
+    VMs with more free cores before those with fewer.
     """
     rows = [
         row
@@ -130,10 +132,29 @@
         and row.in_registry
         and (row.name in advice.allowed or row.name not in advice.asked)
     ]
-    rows.sort(key=lambda row: (row.name in advice.asked, row.free.millicores), reverse=True)
+    rows.sort(
+        key=lambda row: (fits(need, row.free), row.name in advice.asked, row.free.millicores),
+        reverse=True,
+    )
     return [row.name for row in rows[:MAX_VMS_PER_REQUEST]]
 
 
+def store_answer(advice: StepAdvice, names: list[str], tickets: dict[str, str]):
+    """Stores an answer about the named VMs.
+
+    A VM that is allowed but for which there was no place in the request may be asked about again,
+    and isn't used until then: a step that chose it would have no ticket for it.
+    """
+    unnamed = advice.allowed.difference(names)
+    advice.allowed -= unnamed
+    advice.asked -= unnamed
+    advice.asked.update(names)
+    advice.allowed.update(tickets)
+    advice.tickets = dict(tickets)
+    advice.received_s = get_elapsed_s()
+    advice.retry_s = 0.0
+
+
 async def _ask_advice(state: TermState, step: StepWork, service: str):
     """Asks about a step, which isn't pending any more afterwards, whatever happens."""
     advice = step.advice
@@ -149,7 +170,7 @@
 async def _request_advice(state: TermState, step: StepWork, service: str):
     queue = step.work.job.queue
     advice = step.advice
-    names = choose_vms_to_ask(state.fleet, service, advice)
+    names = choose_vms_to_ask(state.fleet, service, advice, get_booked_need(step.spec))
     terms = queue.advice
     expected_s = terms.decision_s + terms.per_vm_s * len(names)
     started_s = get_elapsed_s()
@@ -163,11 +184,7 @@
         advice.retry_s = get_elapsed_s() + ADVICE_RETRY_S
         log("advice:failed", step=str(step.key), vms=len(names))
     else:
-        advice.asked.update(names)
-        advice.allowed.update(answer.tickets)
-        advice.tickets = dict(answer.tickets)
-        advice.received_s = get_elapsed_s()
-        advice.retry_s = 0.0
+        store_answer(advice, names, answer.tickets)
         log_routine(
             "advice:got",
             step=str(step.key),
