End the loops of a term that is closed just as a decision arrives

Cause: a cancellation that is swallowed. `asyncio.wait_for` of Python 3.11 returns normally when its task is cancelled in the same passes of the loop in which the awaited event was set. The loop of the commit queue waits in this way, and so do those that read the logs; a watch waits so for its ends to be recorded.

Both waits now use `asyncio.timeout`, which awaits the event itself and has no such gap.

--- a/caroblead/core/timer.py
+++ b/caroblead/core/timer.py
@@ -104,9 +104,14 @@
 
 
 async def wait_for_event(event: asyncio.Event, timeout_s: float) -> bool:
-    """Waits until an event is set; returns False when the timeout has passed before."""
+    """Waits until an event is set; returns False when the timeout has passed before.
+
+    ``asyncio.wait_for`` would swallow a cancellation that comes just after the event was set, and
+    the loop of the cancelled task would never end.
+    """
     try:
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
     except TimeoutError:
         return False
     return True
--- a/caroblead/dispatch/commit_test.py
+++ b/caroblead/dispatch/commit_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from ..core.clock import use_clocks, use_system_clocks
 from ..core.loop import run_in_virtual_time
 from ..core.resource import Resources
@@ -93,3 +95,23 @@
         assert len(topic.records) >= 6
 
     play(scenario)
+
+
+@pytest.mark.parametrize("passes", range(5))
+def test_queue_that_is_closed_as_a_decision_arrives_records_nothing_more(passes):
+    async def main():
+        topic = MemoryTopic()
+        commit = CommitQueue(MemoryLog(topic, CallerFaults()), 1, 0.0, [].append)
+        task = asyncio.create_task(commit.run())
+        await asyncio.sleep(1)
+        commit.mark_dirty(make_work())
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.sleep(0.1)
+        recorded = len(topic.records)
+        await asyncio.sleep(5)
+        assert len(topic.records) == recorded
+        assert task.done()
+
+    run_in_virtual_time(main())
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -290,7 +290,8 @@
     async def wait_recorded(self, timeout_s: float) -> bool:
         """Waits until all earlier decisions are stored in the log; returns false on a timeout."""
         try:
-            await asyncio.wait_for(self.commit.wait_flushed(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self.commit.wait_flushed()
             return True
         except TimeoutError:
             return False
