Let the capacity of a simulated VM change, and judge its starts by it

Callers' work can break a VM whose capacity shrinks while it runs, and no test could see it: the VMs of the stand-in kept one capacity for good and their registry entries didn't name it.

--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -271,7 +271,10 @@
 
 def check_site(site: Site) -> list[str]:
     """Returns the violations and unfinished steps of a site, and wrong job states of its nodes."""
-    problems = find_violations(site.vm_simulator.history, site.caller_records, CAPACITY, site.cap)
+    simulator = site.vm_simulator
+    problems = find_violations(
+        simulator.history, site.caller_records, CAPACITY, site.cap, simulator.capacity_changes
+    )
     for node in site.nodes.values():
         for name, spec in site.caller_records.list_expected_jobs().items():
             state = find_state(node.ledger, name)
--- a/caroblead/standin/work.py
+++ b/caroblead/standin/work.py
@@ -44,6 +44,7 @@
             fails,
             fields.get("response_ms", 0.0),
             fields.get("disturbs_ms", 0.0),
+            spec.steps[task.step].fills,
         )
 
     return get_task_behavior
