Look at the capacity of a VM again when a recorded start is sent

What callers would see: after an outage of the ledger, starts decided before it were sent to a VM that had shrunk meanwhile, and more ran there than it holds.

Cause: a start is recorded before it is sent, and nobody looked at the VM again in between. While the ledger refuses appends and the registry is served, the leader knows of the shrink and sends the order all the same.

A recorded start now goes out only if its VM holds it beside the runs whose orders have been sent; starts that are still being recorded give way, since they are looked at in turn. Otherwise its task waits again. The members of a gang are sent all or none, so that none waits alone.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -7,7 +7,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from ..core.resource import NOTHING, Resources, add, subtract
+from ..core.resource import NOTHING, Resources, add, fits, subtract
 from ..jobs.data import StepKey
 from .interface import ListedVm, Target, TaskName
 
@@ -178,6 +178,22 @@
     return True
 
 
+def is_within_capacity(row: VmRow, starting: list[Run]) -> bool:
+    """Returns whether a VM can hold the runs that are about to start there.
+
+    It can unless it has shrunk since they were booked. Of the runs that exceed a shrunk capacity
+    those whose orders have been sent count first, and those that are still being recorded not at
+    all, because they are checked once they are recorded.
+    """
+    free = row.free
+    if fits(NOTHING, free):
+        return True
+    for run in row.runs.values():
+        if run.phase is RunPhase.RECORDING and run not in starting:
+            free = add(free, run.need)
+    return fits(NOTHING, free)
+
+
 def observe_clock(row: VmRow, clock_ms: int, now_s: float):
     """Stores a reading of a VM's clock that has just arrived."""
     row.clock_ms = clock_ms
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -5,7 +5,7 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
 from ..core.timer import await_and_log_errors
-from .fleet import Fleet, Run, RunPhase, grant_deadline
+from .fleet import Fleet, Run, RunPhase, grant_deadline, is_within_capacity
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, VmControl
 from .report import Reports
 
@@ -38,6 +38,20 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def start_all(self, runs: list[Run], payload: str):
+        """Sends the start orders of recorded runs: of one run, or of all members of a gang.
+
+        None is sent if a VM has shrunk so much since the decision that it can't hold them.
+        """
+        present = [run for run in runs if run.wanted and (run.task, run.number) in run.vm.runs]
+        if not all(is_within_capacity(run.vm, present) for run in present):
+            for run in present:
+                self.reports.on_refused(run, StartRefusal.NO_ROOM)
+            return
+        for run in present:
+            run.phase = RunPhase.ORDERED
+            self.spawn(await_and_log_errors(self.start(run, payload)))
+
     async def start(self, run: Run, payload: str):
         """Sends the start order of a recorded run and handles the answer."""
         row = run.vm
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -1,6 +1,7 @@
 """The tick of a term: plans the starts, records them, and sends the orders once recorded."""
 
 import asyncio
+from functools import partial
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log, log_routine
@@ -72,50 +73,57 @@
 
 
 def _start_placements(state: TermState, placements: list[Placement], now_s: float):
-    run_numbers: dict[StepKey, int] = {}
-    wall_s = get_wall_s()
+    starts: list[tuple[StepWork, list[Run]]] = []
+    gangs: dict[StepKey, list[Run]] = {}
     for placement in placements:
-        step, row = placement.step, placement.vm
-        # The members of a gang share one run number.
-        number = run_numbers.get(step.key) if step.spec.gang else None
-        if number is None:
+        step = placement.step
+        runs = gangs.get(step.key, [])
+        if not runs:
             step.step_progress.last_run += 1
-            number = run_numbers[step.key] = step.step_progress.last_run
-        run = Run(
-            step.make_task_name(placement.index),
-            number,
-            row,
-            step.work.job.team,
-            get_booked_need(step.spec),
-            ticket=placement.ticket,
-            ticket_until_s=_get_ticket_end(step),
-            started_s=now_s,
-            charge=step.spec.need,
-            checkpoint=step.step_progress.checkpoints.get(placement.index, ""),
-        )
-        book_run(state.fleet, run)
-        add_run(step, copy_step_attributes(step, run))
-        if step.work.state is JobState.QUEUED:
-            step.work.state = JobState.RUNNING
-        log_routine(
-            "task:placed",
-            task=str(run.task),
-            run=run.number,
-            vm=row.name,
-            waited_s=round(wall_s - step.work.job.accepted_s, 3),
-            due_in_s=round(step.work.due_s - wall_s, 3),
-            surplus=step.work.surplus,
-            heard_s=round(now_s - row.heard_s, 3),
-        )
-        payload = step.work.job.spec.payload
-        state.commit.mark_dirty(
-            step.work, lambda run=run, payload=payload: _send_start(state, run, payload)
-        )
+            starts.append((step, runs))
+        if step.spec.gang:
+            gangs[step.key] = runs
+        # The members of a gang share one run number.
+        runs.append(_book_placement(state, placement, step.step_progress.last_run, now_s))
+    for step, runs in starts:
+        state.commit.mark_dirty(step.work, partial(_send_starts, state, step, runs))
+
+
+def _book_placement(state: TermState, placement: Placement, number: int, now_s: float) -> Run:
+    step, row = placement.step, placement.vm
+    run = Run(
+        step.make_task_name(placement.index),
+        number,
+        row,
+        step.work.job.team,
+        get_booked_need(step.spec),
+        ticket=placement.ticket,
+        ticket_until_s=_get_ticket_end(step),
+        started_s=now_s,
+        charge=step.spec.need,
+        checkpoint=step.step_progress.checkpoints.get(placement.index, ""),
+    )
+    book_run(state.fleet, run)
+    add_run(step, copy_step_attributes(step, run))
+    if step.work.state is JobState.QUEUED:
+        step.work.state = JobState.RUNNING
+    wall_s = get_wall_s()
+    log_routine(
+        "task:placed",
+        task=str(run.task),
+        run=run.number,
+        vm=row.name,
+        waited_s=round(wall_s - step.work.job.accepted_s, 3),
+        due_in_s=round(step.work.due_s - wall_s, 3),
+        surplus=step.work.surplus,
+        heard_s=round(now_s - row.heard_s, 3),
+    )
+    return run
 
 
-def _send_start(state: TermState, run: Run, payload: str):
+def _send_starts(state: TermState, step: StepWork, runs: list[Run]):
     if not state.lost:
-        state.order_sender.spawn(await_and_log_errors(state.order_sender.start(run, payload)))
+        state.order_sender.start_all(runs, step.work.job.spec.payload)
 
 
 def choose_vms_to_ask(fleet: Fleet, service: str, advice: StepAdvice) -> list[str]:
