Count no free place on a VM of which one resource is overbooked

What callers would see: urgent work waits although less urgent work could be stopped for it, and runs are stopped for a gang that then still finds no place.

Cause: the search for runs to evict counted how often a task fits by the resources that it needs, while the plan of starts asks for every resource. A VM that has shrunk below what runs there has a negative rest of one resource, so tasks that need none of it seemed to fit there without stopping anything.

count_fit now returns 0 as long as any free resource is negative.

--- a/caroblead/dispatch/capacity_test.py
+++ b/caroblead/dispatch/capacity_test.py
@@ -22,6 +22,7 @@
 from ..standin.trial import check_site
 from ..standin.verdict import SHRINK_GRACE_S
 from ..standin.work import make_spec, make_step
+from .eviction import choose_evictions, count_fit
 from .fleet import RunPhase
 from .planning_test import make_backlog, make_steps, plan
 
@@ -338,6 +339,13 @@
 # The plan of a tick.
 
 
+def test_nothing_fits_into_free_resources_of_which_one_is_negative():
+    assert count_fit(Resources(1000, 0), Resources(-1000, 8000)) == 0
+    assert count_fit(Resources(1000, 0), Resources(3000, -1)) == 0
+    assert count_fit(Resources(0, 512), Resources(-1, 4096)) == 0
+    assert count_fit(Resources(1000, 512), Resources(3000, 4096)) == 3
+
+
 def test_vm_over_its_capacity_does_not_hide_one_with_free_resources():
     fleet, _ = make_backlog(0)
     for name in ("v0", "v1", "v2"):
@@ -346,3 +354,26 @@
     assert [item.vm.name for item in plan(steps, fleet).placements] == ["v3"]
     fleet.rows["v3"].free = Resources(-1, 8000)
     assert plan(steps, fleet).placements == []
+
+
+def make_vm_without_memory_beside_evictable_run():
+    """Returns two VMs: one has cores free but less than no memory, the other an evictable run."""
+    fleet, _ = make_backlog(0)
+    rows = [fleet.rows[name] for name in ("v0", "v1")]
+    (run,) = rows[1].runs.values()
+    run.evictable = True
+    return rows, {"v0": Resources(1000, -100), "v1": Resources(1000, 7900)}
+
+
+def test_no_run_is_evicted_for_a_gang_that_then_still_does_not_fit():
+    rows, free = make_vm_without_memory_beside_evictable_run()
+    (gang,) = make_steps(make_step(5, need=Resources(1000, 0), gang=True))
+    assert choose_evictions(gang, rows, free, 5, 1.0) is None
+
+
+def test_vm_without_memory_does_not_keep_urgent_work_from_evicting_elsewhere():
+    rows, free = make_vm_without_memory_beside_evictable_run()
+    (step,) = make_steps(make_step(1, need=Resources(2000, 0)))
+    free["v0"] = Resources(2000, -100)
+    found = choose_evictions(step, rows, free, 1, 1.0)
+    assert [run.vm.name for run in found.runs] == ["v1"]
--- a/caroblead/dispatch/eviction.py
+++ b/caroblead/dispatch/eviction.py
@@ -29,7 +29,12 @@
 
 
 def count_fit(need: Resources, free: Resources) -> int:
-    """Returns how many tasks of this need fit into the free resources."""
+    """Returns how many tasks of this need fit into the free resources.
+
+    None fits while one of these is negative, as on a VM that has shrunk below what runs there.
+    """
+    if not fits(need, free):
+        return 0
     count = MAX_FIT
     if need.millicores:
         count = free.millicores // need.millicores
@@ -37,7 +42,7 @@
         count = min(count, free.memory_mb // need.memory_mb)
     if need.accelerators:
         count = min(count, free.accelerators // need.accelerators)
-    return max(0, count)
+    return count
 
 
 def compute_loss(run: Run, now_s: float) -> float:
