Let a gang give up reserved VMs that can no longer hold it

What callers would see: after VMs reserved for a gang have shrunk below its need, the gang doesn't start and less urgent work is kept from these VMs for as long as the capacity stays away, although it would fit.

Cause: the reservations of a gang were extended in each tick without asking again whether the VMs could hold it once empty.

A gang whose reserved VMs can't hold it any more lets go of them and searches anew, so that it takes other VMs if there are enough, and none otherwise. That holds for a VM that has left the table, too.

dispatch/capacity_test.py, both tests failed before: with one of two VMs halved, none of six small tasks started in 3 s beside a gang of eight (all six now, and the gang within 3 s after the growth), and a plan kept the shrunk VM although another one was large enough.

--- a/caroblead/dispatch/capacity_test.py
+++ b/caroblead/dispatch/capacity_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ..core.resource import NOTHING, Resources
+from ..core.resource import NOTHING, Resources, subtract
 from ..jobs.record import KeyedRecord
 from ..standin.cluster import (
     CAPACITY,
@@ -24,7 +24,7 @@
 from ..standin.work import make_spec, make_step
 from .eviction import choose_evictions, count_fit
 from .fleet import RunPhase
-from .planning_test import make_backlog, make_steps, plan
+from .planning_test import make_backlog, make_fleet, make_steps, plan
 
 HALF = Resources(2000, 8192)
 SETTLE_S = SHRINK_GRACE_S + 0.1
@@ -336,9 +336,34 @@
     judge(run_scenario(scenario))
 
 
+def test_gang_that_fits_no_longer_anywhere_does_not_keep_its_vms_from_other_work():
+    async def scenario():
+        site = await start_site(vm_count=2)
+        await submit(site, "n0", make_spec(make_step(8), seconds=3))
+        gang = await submit(site, "n0", make_spec(make_step(8, gang=True)))
+        await asyncio.sleep(0.5)
+        leader = site.nodes[find_leader(site)].leader
+        assert {found.step.job for found in leader.fleet.reservations.values()} == {gang}
+        await resize_vm(site, 0, HALF)
+        other = await submit(site, "n0", make_spec(make_step(6)))
+        await asyncio.sleep(3)
+        assert (len(list_starts(site, gang)), len(list_starts(site, other))) == (0, 6)
+        await resize_vm(site, 0, CAPACITY)
+        await asyncio.sleep(3)
+        assert len(list_starts(site, gang)) == 8
+        return site
+
+    judge(run_scenario(scenario))
+
+
 # The plan of a tick.
 
 
+def shrink_row(row, capacity):
+    row.free = subtract(row.free, subtract(row.listed.capacity, capacity))
+    row.listed = make_listed_vm(0, capacity=capacity)
+
+
 def test_nothing_fits_into_free_resources_of_which_one_is_negative():
     assert count_fit(Resources(1000, 0), Resources(-1000, 8000)) == 0
     assert count_fit(Resources(1000, 0), Resources(3000, -1)) == 0
@@ -377,3 +402,20 @@
     free["v0"] = Resources(2000, -100)
     found = choose_evictions(step, rows, free, 1, 1.0)
     assert [run.vm.name for run in found.runs] == ["v1"]
+
+
+def test_gang_lets_go_of_vms_that_have_become_too_small_for_it():
+    fleet = make_fleet(3)
+    for row in fleet.rows.values():
+        row.free = Resources(1000, 8000)
+    (gang,) = make_steps(make_step(8, need=Resources(1000, 1), gang=True), name="g")
+    plan([gang], fleet)
+    assert sorted(fleet.reservations) == ["v0", "v1"]
+    shrink_row(fleet.rows["v1"], Resources(2000, 8000))
+    gang.next_search_s = 0.0
+    plan([gang], fleet)
+    assert sorted(fleet.reservations) == ["v0", "v2"]
+    shrink_row(fleet.rows["v2"], Resources(2000, 8000))
+    gang.next_search_s = 0.0
+    plan([gang], fleet)
+    assert fleet.reservations == {}
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -211,9 +211,12 @@
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
     if state.reservations.count(step.key):
-        if step.spec.gang:
+        if not step.spec.gang:
+            return
+        if _may_hold_gang(state, step):
             state.reservations.extend(step.key)
-        return
+            return
+        state.reservations.release(step.key)
     if state.now_s < step.next_search_s or state.searches_left <= 0:
         return
     state.searches_left -= 1
@@ -232,6 +235,14 @@
         state.reservations.reserve(step.key, rank, rows)
 
 
+def _may_hold_gang(state: PlanningState, step: StepWork) -> bool:
+    """Returns whether the VMs reserved for a gang can still hold it once their runs have ended."""
+    need = get_booked_need(step.spec)
+    found = [state.fleet.rows.get(name) for name in state.reservations.list_vms(step.key)]
+    fitting = sum(count_fit(need, row.listed.capacity) for row in found if row is not None)
+    return fitting >= len(step.waiting)
+
+
 def _add_placements(state: PlanningState, step: StepWork, chosen: list[tuple[int, VmRow]]):
     _book_room(state, step, chosen)
     for index, row in chosen:
