Show that a check fails when a VM's new capacity is ignored

Two mechanisms are taken out on their own now: the new capacity in the leader's table, and the second look at it when a recorded start is sent. The check then finds starts on a VM over its capacity.

The test that takes the free capacity out of the plan takes out the second look as well.

--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -9,7 +9,11 @@
 
 import pytest
 
-from ..dispatch import completion, leader, planning, tick, watch
+from ..dispatch import completion, leader, orders, planning, tick, watch
+from ..dispatch.capacity_test import (
+    shrink_and_grow_under_load,
+    shrink_while_four_starts_are_recorded,
+)
 from ..dispatch.commit import CommitQueue
 from ..dispatch.fleet import RunPhase, observe_clock, put_vm
 from ..dispatch.interface import NoAnswer
@@ -17,7 +21,7 @@
 from ..dispatch.leader_test import DRAIN_S, drain_a_vm, submit_while_a_vm_restarts
 from ..dispatch.orders import OrderSender
 from ..jobs.ledger import JobCancelled
-from ..standin.cluster import run_scenario
+from ..standin.cluster import CAPACITY, run_scenario
 from ..standin.trial import check_site, run_trial
 from ..standin.verdict import list_late_starts
 from .appender import Appender, AppendResult
@@ -93,6 +97,18 @@
 def ignore_free_capacity(monkeypatch):
     monkeypatch.setattr(planning, "fits", lambda need, free: True)
     monkeypatch.setattr(planning, "count_fit", lambda need, free: 4)
+    send_without_a_second_look_at_the_capacity(monkeypatch)
+
+
+def send_without_a_second_look_at_the_capacity(monkeypatch):
+    monkeypatch.setattr(orders, "is_within_capacity", lambda row, starting: True)
+
+
+def ignore_changes_of_capacity(monkeypatch):
+    def put_with_first_capacity(fleet, listed):
+        return put_vm(fleet, replace(listed, capacity=CAPACITY))
+
+    monkeypatch.setattr(leader, "put_vm", put_with_first_capacity)
 
 
 def ignore_step_dependencies(monkeypatch):
@@ -163,6 +179,8 @@
     [
         (treat_restarted_vm_as_empty, submit_while_a_vm_restarts),
         (lead_twice_in_one_term, expire_history_early_in_a_term),
+        (ignore_changes_of_capacity, shrink_and_grow_under_load),
+        (send_without_a_second_look_at_the_capacity, shrink_while_four_starts_are_recorded),
     ],
 )
 def test_scenario_violates_a_guarantee_without_the_mechanism(disable, scenario, monkeypatch):
