Start nothing by registry entries that were read too long ago

What callers would see: when the nodes reach the store again after some seconds, the leader starts tasks by what the registry said before, and overfills a VM that has shrunk meanwhile.

Cause: the leader's append and its read of the registry return on their own. The first answer lets it decide again, while the other may be 1.5 s behind; and while only the registry can't be read it goes on with old entries for good.

No start is decided or sent by entries that were read over 3.5 s ago. A recorded start that comes too late for that is withdrawn and its task waits again. The price: while the registry can't be read, nothing starts after that time, even if the ledger takes appends.

dispatch/capacity_test.py, both tests failed before: after 8 s without the store two tasks started on a VM of 4 cores shrunk to 2 that ran two already, and a leader that couldn't read the registry started four there. Taken out, the check fails (trust_entries_of_any_age in node/mechanism_test.py).

node, dispatch and standin: 167 passed.

--- a/caroblead/dispatch/capacity_test.py
+++ b/caroblead/dispatch/capacity_test.py
@@ -356,6 +356,45 @@
     judge(run_scenario(scenario))
 
 
+async def reconnect_to_the_store_after_a_vm_has_shrunk():
+    """Cuts all nodes off from the store while the only VM shrinks; their jobs wait meanwhile."""
+    site = await start_site(vm_count=1)
+    for _ in range(6):
+        await submit(site, find_leader(site), make_spec(make_step(2), seconds=6))
+    await asyncio.sleep(0.3)
+    for caller_faults in site.faults_by_node.values():
+        caller_faults.silent = True
+    await resize_vm(site, 0, HALF)
+    await asyncio.sleep(SHRINK_GRACE_S + 1)
+    for caller_faults in site.faults_by_node.values():
+        caller_faults.silent = False
+    await asyncio.sleep(120)
+    return site
+
+
+def test_leader_that_reaches_the_store_again_reads_the_registry_before_it_starts_anything():
+    judge(run_scenario(reconnect_to_the_store_after_a_vm_has_shrunk))
+
+
+def test_leader_that_cannot_read_the_registry_starts_nothing_until_it_can():
+    async def scenario():
+        site = await start_site(vm_count=1, node_count=1)
+        (node,) = site.nodes.values()
+        faults = node.registry_tail.log.caller_faults = CallerFaults(down=True)
+        await resize_vm(site, 0, HALF)
+        await asyncio.sleep(SETTLE_S)
+        job = await submit(site, "n0", make_spec(make_step(4), seconds=2))
+        await asyncio.sleep(2)
+        assert list_starts(site, job) == []
+        faults.down = False
+        await asyncio.sleep(1)
+        assert len(list_starts(site, job)) == 2
+        await asyncio.sleep(8)
+        return site
+
+    judge(run_scenario(scenario))
+
+
 # The plan of a tick.
 
 
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -43,19 +43,24 @@
 
         None is sent if a VM has shrunk so much since the decision that it can't hold them.
         """
-        present = [run for run in runs if run.wanted and (run.task, run.number) in run.vm.runs]
+        present = [run for run in runs if _is_start_due(run)]
         if not all(is_within_capacity(run.vm, present) for run in present):
-            for run in present:
-                self.reports.on_refused(run, StartRefusal.NO_ROOM)
+            self.withdraw(present, "its VM or that of another member has shrunk")
             return
         for run in present:
             run.phase = RunPhase.ORDERED
             self.spawn(await_and_log_errors(self.start(run, payload)))
 
+    def withdraw(self, runs: list[Run], detail: str):
+        """Gives up recorded starts that have not been sent, so that their tasks wait again."""
+        for run in runs:
+            if _is_start_due(run):
+                self.reports.on_gone(run, f"not sent: {detail}")
+
     async def start(self, run: Run, payload: str):
         """Sends the start order of a recorded run and handles the answer."""
         row = run.vm
-        if not run.wanted or (run.task, run.number) not in row.runs:
+        if not _is_start_due(run):
             return
         if get_elapsed_s() >= run.ticket_until_s:
             self.reports.on_refused(run, StartRefusal.NO_TICKET)
@@ -164,3 +169,8 @@
         """Cancels the orders in flight."""
         for task in list(self.tasks):
             task.cancel()
+
+
+def _is_start_due(run: Run) -> bool:
+    """Returns whether a recorded start is still wanted and its run has not been given up."""
+    return run.wanted and (run.task, run.number) in run.vm.runs
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -15,6 +15,10 @@
 from .rank import TokenBucket
 from .work import JobWork
 
+# No task is started by entries of the registry that were read longer ago than this: a shrink that
+# they may lack counts 4 s after the VM has written it at the latest.
+MAX_LISTED_AGE_S = 3.5
+
 
 @dataclass(slots=True)
 class LeaderDependencies:
@@ -27,6 +31,7 @@
     timers: TimerService
     get_configuration: Callable[[], Configuration]
     get_listed: Callable[[], dict[str, ListedVm]]
+    get_listed_age_s: Callable[[], float]
     on_lost: Callable[[str], None]
     lease_s: float
 
@@ -50,3 +55,8 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
     resigning: bool = False
+
+
+def is_registry_current(dependencies: LeaderDependencies) -> bool:
+    """Returns whether the entries of the VMs are recent enough to start tasks by them."""
+    return dependencies.get_listed_age_s() <= MAX_LISTED_AGE_S
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -12,7 +12,7 @@
 from .interface import find_service
 from .planning import Placement, plan_starts
 from .rank import rank_step
-from .term import TermState
+from .term import TermState, is_registry_current
 from .work import (
     StepAdvice,
     StepWork,
@@ -59,6 +59,8 @@
             steps += [step for step in work.steps.values() if is_step_ready(step)]
     if not steps or state.commit.get_delay_s() > MAX_RECORD_DELAY_S:
         return
+    if not is_registry_current(state.dependencies):
+        return
     configuration = state.dependencies.get_configuration()
     slow = {name for name in state.health.speeds if is_slow(state.health, name, now_s)}
     plan = plan_starts(steps, state.fleet, configuration, now_s, wall_s, slow)
@@ -122,8 +124,12 @@
 
 
 def _send_starts(state: TermState, step: StepWork, runs: list[Run]):
-    if not state.lost:
+    if state.lost:
+        return
+    if is_registry_current(state.dependencies):
         state.order_sender.start_all(runs, step.work.job.spec.payload)
+    else:
+        state.order_sender.withdraw(runs, "the registry was not read in time")
 
 
 def choose_vms_to_ask(fleet: Fleet, service: str, advice: StepAdvice) -> list[str]:
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -11,6 +11,7 @@
 
 from ..dispatch import completion, leader, orders, planning, tick, watch
 from ..dispatch.capacity_test import (
+    reconnect_to_the_store_after_a_vm_has_shrunk,
     shrink_and_grow_under_load,
     shrink_while_four_starts_are_recorded,
 )
@@ -104,6 +105,10 @@
     monkeypatch.setattr(orders, "is_within_capacity", lambda row, starting: True)
 
 
+def trust_entries_of_any_age(monkeypatch):
+    monkeypatch.setattr(tick, "is_registry_current", lambda dependencies: True)
+
+
 def ignore_changes_of_capacity(monkeypatch):
     def put_with_first_capacity(fleet, listed):
         return put_vm(fleet, replace(listed, capacity=CAPACITY))
@@ -181,6 +186,7 @@
         (lead_twice_in_one_term, expire_history_early_in_a_term),
         (ignore_changes_of_capacity, shrink_and_grow_under_load),
         (send_without_a_second_look_at_the_capacity, shrink_while_four_starts_are_recorded),
+        (trust_entries_of_any_age, reconnect_to_the_store_after_a_vm_has_shrunk),
     ],
 )
 def test_scenario_violates_a_guarantee_without_the_mechanism(disable, scenario, monkeypatch):
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -237,6 +237,7 @@
             timers=self.timers,
             get_configuration=lambda: self.configuration_view.current or Configuration(),
             get_listed=lambda: self.registry.vms,
+            get_listed_age_s=self.registry_tail.get_age_s,
             on_lost=self._on_term_lost,
             lease_s=self.settings.lease_s,
         )
