Give a restarted VM no work until its new entry has been read

What callers would see: a VM that starts again under its name with less capacity is overfilled from its first answer until its new entry has been read.

Cause: the leader learns of the restart from the VM's lists and then uses the VM by the entry of its former life, which names another capacity and, if it is of another kind, other labels.

A VM is used only once its entry is of the life that answers; an entry that names no life is taken as before.

Taken out, the check fails (trust_the_entry_of_a_former_incarnation in node/mechanism_test.py).

--- a/caroblead/dispatch/capacity_test.py
+++ b/caroblead/dispatch/capacity_test.py
@@ -356,6 +356,39 @@
     judge(run_scenario(scenario))
 
 
+async def restart_a_vm_with_less_capacity(entry_delay_s):
+    """Restarts a VM with half of its capacity under the same name while jobs are submitted.
+
+    Its new entry is in the registry ``entry_delay_s`` after the restart.
+    """
+    site = await start_site(vm_count=2)
+    stream = asyncio.create_task(submit_stream(site, make_spec(make_step(4), seconds=1), 30, 0.4))
+    await asyncio.sleep(2)
+    site.vm_simulator.crash("vm-0", 0.3)
+    site.vm_simulator.resize("vm-0", HALF)
+    await asyncio.sleep(0.3 + entry_delay_s)
+    put_vm_entry(site, make_listed_vm(0, 2, capacity=HALF))
+    await stream
+    await asyncio.sleep(40)
+    return site
+
+
+async def restart_a_vm_long_before_its_entry():
+    """Restarts a VM with half of its capacity 9 s before the registry shows that."""
+    return await restart_a_vm_with_less_capacity(9.0)
+
+
+@pytest.mark.parametrize("entry_delay_s", [0.05, 1.5, 9.0])
+def test_vm_that_restarts_with_less_capacity_is_not_overfilled(entry_delay_s):
+    async def scenario():
+        site = await restart_a_vm_with_less_capacity(entry_delay_s)
+        late = [event for event in list_starts(site) if event.vm == "vm-0" and event.at_s > 14]
+        assert late
+        return site
+
+    judge(run_scenario(scenario))
+
+
 async def reconnect_to_the_store_after_a_vm_has_shrunk():
     """Cuts all nodes off from the store while the only VM shrinks; their jobs wait meanwhile."""
     site = await start_site(vm_count=1)
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -242,6 +242,7 @@
     return (
         row.answered
         and row.in_registry
+        and not is_entry_outdated(row)
         and not row.listed.draining
         and not row.unknown_runs
         and now_s - row.heard_s < SILENT_AFTER_S
@@ -249,6 +250,14 @@
     )
 
 
+def is_entry_outdated(row: VmRow) -> bool:
+    """Returns whether the entry of a VM describes a former incarnation, or false if it names none.
+
+    The present one may have another capacity and other labels.
+    """
+    return 0 < row.listed.incarnation < row.incarnation
+
+
 def reset_incarnation(row: VmRow, incarnation: int, now_s: float):
     """Resets the lease of a VM that has restarted; the caller must end its runs."""
     row.incarnation = incarnation
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from ..dispatch import completion, leader, orders, planning, tick, watch
+from ..dispatch import completion, fleet, leader, orders, planning, tick, watch
 from ..dispatch.capacity_test import (
     reconnect_to_the_store_after_a_vm_has_shrunk,
+    restart_a_vm_long_before_its_entry,
     shrink_and_grow_under_load,
     shrink_while_four_starts_are_recorded,
 )
@@ -109,6 +110,10 @@
     monkeypatch.setattr(tick, "is_registry_current", lambda dependencies: True)
 
 
+def trust_the_entry_of_a_former_incarnation(monkeypatch):
+    monkeypatch.setattr(fleet, "is_entry_outdated", lambda row: False)
+
+
 def ignore_changes_of_capacity(monkeypatch):
     def put_with_first_capacity(fleet, listed):
         return put_vm(fleet, replace(listed, capacity=CAPACITY))
@@ -187,6 +192,7 @@
         (ignore_changes_of_capacity, shrink_and_grow_under_load),
         (send_without_a_second_look_at_the_capacity, shrink_while_four_starts_are_recorded),
         (trust_entries_of_any_age, reconnect_to_the_store_after_a_vm_has_shrunk),
+        (trust_the_entry_of_a_former_incarnation, restart_a_vm_long_before_its_entry),
     ],
 )
 def test_scenario_violates_a_guarantee_without_the_mechanism(disable, scenario, monkeypatch):
