Shrink VMs in the trials of mixed faults

The trials never changed the capacity of a VM, so no mix of a shrink with kills, cuts and late orders was tried.

In three of ten trials one to three VMs shrink, to nothing at the least, and grow again later. A VM that restarts while it is shrunk registers with that capacity.

--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -173,6 +173,7 @@
         (ignore_runs_of_the_former_leader, 0),
         (ignore_team_quota, 0),
         (ignore_free_capacity, 0),
+        (ignore_changes_of_capacity, 2),
         (ignore_step_dependencies, 0),
         (ignore_attempt_limit, 0),
         (ignore_cancellations, 5),
--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -15,6 +15,7 @@
 from ..jobs.ledger import find_state
 from .cluster import (
     CAPACITY,
+    HEARTBEAT_S,
     QUEUES,
     Site,
     cancel,
@@ -22,6 +23,7 @@
     kill_node,
     make_listed_vm,
     put_vm_entry,
+    resize_vm,
     run_scenario,
     start_node,
     start_site,
@@ -38,6 +40,8 @@
 FAULT_COUNTS = (2, 3, 4, 5)
 CANCELLED_FRACTION = 0.1
 FAILING_FRACTION = 0.15
+SHRINKING_FRACTION = 0.3
+MAX_SHRINKS = 3
 LONGEST_FAULT_S = 6.0
 
 Fault = Callable[[Site, random.Random], Awaitable[None]]
@@ -149,7 +153,7 @@
     down_s = rng.uniform(0.3, 3.0)
     site.vm_simulator.crash(f"vm-{number}", down_s)
     await asyncio.sleep(down_s + rng.uniform(0.1, 1.0))
-    put_vm_entry(site, make_listed_vm(number, vm.incarnation))
+    put_vm_entry(site, make_listed_vm(number, vm.incarnation, capacity=vm.listed.capacity))
 
 
 async def cut_vm(site: Site, rng: random.Random):
@@ -177,6 +181,15 @@
     site.vm_simulator.lose_answers = 0
 
 
+async def shrink_vm(site: Site, rng: random.Random):
+    """Shrinks a VM and lets it grow again; its entry shows each change within a heartbeat."""
+    number = rng.randrange(VM_COUNT)
+    capacity = Resources(rng.choice((0, 1000, 2000, 3000)), rng.choice((1024, 4096, 8192)))
+    await resize_vm(site, number, capacity, rng.uniform(0.0, HEARTBEAT_S))
+    await asyncio.sleep(rng.uniform(1.0, 2 * LONGEST_FAULT_S))
+    await resize_vm(site, number, CAPACITY, rng.uniform(0.0, HEARTBEAT_S))
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_one,
     kill_all,
@@ -236,6 +249,19 @@
         await cancel(site, rng.choice(sorted(site.nodes)), rng.choice(accepted_jobs))
 
 
+def draw_shrinks(seed: int) -> list[tuple[float, random.Random]]:
+    """Returns when VMs shrink in the trial of a seed, each with its own generator.
+
+    They are drawn apart from the other faults, so that a seed still draws the same other faults and
+    jobs as before there were shrinks.
+    """
+    rng = random.Random(f"shrinks of {seed}")
+    if rng.random() >= SHRINKING_FRACTION:
+        return []
+    count = rng.randint(1, MAX_SHRINKS)
+    return [(rng.uniform(1.0, TRAFFIC_S), random.Random(rng.random())) for _ in range(count)]
+
+
 async def _run_fault(site: Site, fault: Fault, at_s: float, rng: random.Random, result):
     await asyncio.sleep(at_s)
     result.faults.append(fault.__name__)
@@ -257,6 +283,10 @@
             )
             for n, fault in enumerate(chosen, seed * 100)
         ]
+        tasks += [
+            asyncio.create_task(_run_fault(site, shrink_vm, at_s, fault_rng, result))
+            for at_s, fault_rng in draw_shrinks(seed)
+        ]
         await _submit_jobs(site, rng)
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S)
