Count the failure of a gang once, also across a hand-over

What callers see: a gang that failed once is shown as failed although its queue allows two attempts.

Cause: which run of a gang had been counted was only in the leader's memory, so the next leader counted the failure of another member of the same run as a second one. It is recorded with the progress now, under a key that older builds ignore.

--- a/caroblead/dispatch/completion.py
+++ b/caroblead/dispatch/completion.py
@@ -57,9 +57,9 @@
 def _settle_failed(step: StepWork, run: Run, settlement: Settlement):
     failure_index = run.task.index
     if step.spec.gang:
-        if run.number <= step.last_failed_run:
+        if run.number <= step.step_progress.last_failed_run:
             return
-        step.last_failed_run = run.number
+        step.step_progress.last_failed_run = run.number
         failure_index = 0
     failures = step.step_progress.failures.get(failure_index, 0) + 1
     step.step_progress.failures[failure_index] = failures
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -41,7 +41,6 @@
     waiting: set[int] = field(default_factory=set)
     active: dict[int, list[Run]] = field(default_factory=dict)
     advice: StepAdvice = field(default_factory=StepAdvice)
-    last_failed_run: int = 0
     next_search_s: float = 0.0
 
     def make_task_name(self, index: int) -> TaskName:
--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -125,7 +125,8 @@
 class StepProgress:
     """The progress of the tasks of one step in one occurrence.
 
-    ``last_run`` is the highest run number assigned in the step so far.
+    ``last_run`` is the highest run number assigned in the step so far, and ``last_failed_run`` that
+    of the last run of a gang that has been counted as a failure.
     """
 
     last_run: int = 0
@@ -133,6 +134,7 @@
     failures: dict[int, int] = field(default_factory=dict)
     runs: list[RunRecord] = field(default_factory=list)
     checkpoints: dict[int, str] = field(default_factory=dict)
+    last_failed_run: int = 0
 
 
 @dataclass(slots=True)
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -83,6 +83,8 @@
 
 
 COMPRESSION_LEVEL = 1
+# No task has this index.
+LAST_FAILED_RUN_KEY = -1
 
 # The first byte of a progress record is the state of the job, which nodes read without
 # decompressing the record.
@@ -175,7 +177,7 @@
             step,
             step_progress.last_run,
             sorted(step_progress.done),
-            list(step_progress.failures.items()),
+            _list_failures(step_progress),
             [[run.task, run.number, run.vm, run.incarnation] for run in step_progress.runs],
             list(step_progress.checkpoints.items()),
         ]
@@ -184,6 +186,17 @@
     return letter + _compress_json(steps)
 
 
+def _list_failures(step_progress: StepProgress) -> list[tuple[int, int]]:
+    """Returns the failures by task, and the last failed run of a gang under a key of its own.
+
+    Older builds read the list as well and ignore that key.
+    """
+    failures = list(step_progress.failures.items())
+    if step_progress.last_failed_run:
+        failures.append((LAST_FAILED_RUN_KEY, step_progress.last_failed_run))
+    return failures
+
+
 def read_state(value: bytes) -> JobState:
     """Returns the state of a job from the first byte of its progress record."""
     return _STATES[value[:1]]
@@ -202,12 +215,15 @@
     for occurrence, step, last_run, done, failures, runs, checkpoints in _decompress_json(
         value[1:]
     ):
+        failures_by_task = dict(map(tuple, failures))
+        last_failed_run = failures_by_task.pop(LAST_FAILED_RUN_KEY, 0)
         progress.steps[occurrence, step] = StepProgress(
             last_run,
             set(done),
-            dict(map(tuple, failures)),
+            failures_by_task,
             [RunRecord(*run) for run in runs],
             dict(map(tuple, checkpoints)),
+            last_failed_run,
         )
     return progress
 
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -46,6 +46,7 @@
     failures=st.dictionaries(COUNTS, COUNTS),
     runs=st.lists(RUNS, max_size=3),
     checkpoints=st.dictionaries(COUNTS, st.text(max_size=3)),
+    last_failed_run=COUNTS,
 )
 
 
