--- a/caroblead/dispatch/eviction.py
+++ b/caroblead/dispatch/eviction.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from ..core.resource import Resources, add, subtract
+from ..core.resource import Resources, add, fits, subtract
 from .fleet import Run, RunPhase, VmRow
 from .work import StepWork, get_booked_need
 
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -213,9 +213,9 @@
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
     if state.reservations.count(step.key):
-        if step.spec.gang:
-            _extend_reservations(state, step, candidates, missing)
-        return
+        if not step.spec.gang or _extend_reservations(state, step, candidates, missing):
+            return
+        state.reservations.release(step.key)
     if state.now_s < step.next_search_s or state.searches_left <= 0:
         return
     state.searches_left -= 1
@@ -234,11 +234,13 @@
         state.reservations.reserve(step.key, rank, rows)
 
 
-def _extend_reservations(state: PlanningState, step: StepWork, candidates, missing: int):
-    """Extends the reservations of a gang if their VMs still suffice for it; else they expire."""
+def _extend_reservations(state: PlanningState, step: StepWork, candidates, missing: int) -> bool:
+    """Extends the reservations of a gang; returns false if their VMs don't suffice for it now."""
     kept = [row for row in candidates if state.reservations.is_reserved_for(row.name, step.key)]
-    if choose_vms_to_reserve(step, kept, state.free, missing):
-        state.reservations.extend(step.key)
+    if not choose_vms_to_reserve(step, kept, state.free, missing):
+        return False
+    state.reservations.extend(step.key)
+    return True
 
 
 def _add_placements(state: PlanningState, step: StepWork, chosen: list[tuple[int, VmRow]]):
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -9,7 +9,13 @@
 
 import pytest
 
-from ..dispatch import completion, leader, planning, tick, watch
+from ..dispatch import completion, fleet, leader, orders, planning, tick, watch
+from ..dispatch.capacity_test import (
+    reconnect_to_the_store_after_a_vm_has_shrunk,
+    restart_a_vm_long_before_its_entry,
+    shrink_and_grow_under_load,
+    shrink_while_four_starts_are_recorded,
+)
 from ..dispatch.commit import CommitQueue
 from ..dispatch.fleet import RunPhase, observe_clock, put_vm
 from ..dispatch.interface import NoAnswer
@@ -17,7 +23,7 @@
 from ..dispatch.leader_test import DRAIN_S, drain_a_vm, submit_while_a_vm_restarts
 from ..dispatch.orders import OrderSender
 from ..jobs.ledger import JobCancelled
-from ..standin.cluster import run_scenario
+from ..standin.cluster import CAPACITY, run_scenario
 from ..standin.trial import check_site, run_trial
 from ..standin.verdict import list_late_starts
 from .appender import Appender, AppendResult
@@ -93,6 +99,26 @@
 def ignore_free_capacity(monkeypatch):
     monkeypatch.setattr(planning, "fits", lambda need, free: True)
     monkeypatch.setattr(planning, "count_fit", lambda need, free: 4)
+    send_without_a_second_look_at_the_capacity(monkeypatch)
+
+
+def send_without_a_second_look_at_the_capacity(monkeypatch):
+    monkeypatch.setattr(orders, "is_within_capacity", lambda row, starting: True)
+
+
+def trust_entries_of_any_age(monkeypatch):
+    monkeypatch.setattr(tick, "is_registry_current", lambda dependencies: True)
+
+
+def trust_the_entry_of_a_former_incarnation(monkeypatch):
+    monkeypatch.setattr(fleet, "is_entry_outdated", lambda row: False)
+
+
+def ignore_changes_of_capacity(monkeypatch):
+    def put_with_first_capacity(fleet, listed):
+        return put_vm(fleet, replace(listed, capacity=CAPACITY))
+
+    monkeypatch.setattr(leader, "put_vm", put_with_first_capacity)
 
 
 def ignore_step_dependencies(monkeypatch):
@@ -147,6 +173,7 @@
         (ignore_runs_of_the_former_leader, 0),
         (ignore_team_quota, 0),
         (ignore_free_capacity, 0),
+        (ignore_changes_of_capacity, 2),
         (ignore_step_dependencies, 0),
         (ignore_attempt_limit, 0),
         (ignore_cancellations, 5),
@@ -163,6 +190,10 @@
     [
         (treat_restarted_vm_as_empty, submit_while_a_vm_restarts),
         (lead_twice_in_one_term, expire_history_early_in_a_term),
+        (ignore_changes_of_capacity, shrink_and_grow_under_load),
+        (send_without_a_second_look_at_the_capacity, shrink_while_four_starts_are_recorded),
+        (trust_entries_of_any_age, reconnect_to_the_store_after_a_vm_has_shrunk),
+        (trust_the_entry_of_a_former_incarnation, restart_a_vm_long_before_its_entry),
     ],
 )
 def test_scenario_violates_a_guarantee_without_the_mechanism(disable, scenario, monkeypatch):
