Show that a task that crashes its VMs is started again without end

An issue of the users (23) says that a task may crash each VM that starts it. The leader takes the runs of a restarted VM as lapsed and starts them elsewhere, so one task takes down one VM after the other.

--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 
 from ..core.clock import use_clocks, use_system_clocks
 from ..core.loop import run_in_virtual_time
@@ -17,9 +18,12 @@
 from ..node.setting import NodeSettings
 from .keyedlog import CallerFaults, MemoryLog, MemoryTopic
 from .verdict import CallerRecords
-from .vmsimulator import SimulatedVmControl, VmSimulator
+from .vmsimulator import SimulatedVm, SimulatedVmControl, VmSimulator
 from .work import make_behavior_lookup
 
+# A VM that is down for longer loses its registry entry, and a restarted one registers this late.
+ENTRY_EXPIRY_S = 2.0
+REGISTER_DELAY_S = 0.3
 WALL_OFFSET_S = 1_700_000_000.0
 SERVICE = "planner"
 KEY = "key-of-north"
@@ -83,6 +87,16 @@
         site.draining_s.setdefault(listed.name, asyncio.get_running_loop().time())
 
 
+def show_crash_in_registry(site: Site, vm: SimulatedVm, down_s: float):
+    """Lets the registry entry of a crashed VM expire, and registers the VM when it is back."""
+    call_later = asyncio.get_running_loop().call_later
+    if down_s > ENTRY_EXPIRY_S:
+        expired = KeyedRecord(vm.listed.name, b"")
+        call_later(ENTRY_EXPIRY_S, site.registry.append, [expired], None)
+    listed = replace(vm.listed, incarnation=vm.incarnation + 1)
+    call_later(down_s + REGISTER_DELAY_S, put_vm_entry, site, listed)
+
+
 async def start_site(vm_count: int = 4, node_count: int = 3, cap: Resources | None = None) -> Site:
     """Starts nodes, VMs and a store and waits until a leader is elected."""
     caller_records = CallerRecords()
@@ -91,6 +105,7 @@
         caller_records=caller_records,
         cap=cap or Resources(),
     )
+    site.vm_simulator.on_crashed = partial(show_crash_in_registry, site)
     publish_config(site, 1)
     for number in range(vm_count):
         site.vm_simulator.add(make_listed_vm(number))
--- a/caroblead/standin/verdict.py
+++ b/caroblead/standin/verdict.py
@@ -15,6 +15,9 @@
 # No task of a cancelled job starts later than this after the cancellation was acknowledged, under
 # any fault: a leader that is cut off keeps its term no longer than a lease.
 CANCEL_BOUND_S = 10.0
+# After so many VMs have crashed under a crashing task, it may be started fewer than so many times.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 
 
 @dataclass(slots=True)
@@ -51,6 +54,8 @@
     ended_done: set[TaskName] = field(default_factory=set)
     done: set[TaskName] = field(default_factory=set)
     failures: Counter[TaskName] = field(default_factory=Counter)
+    crashes: Counter[TaskName] = field(default_factory=Counter)
+    starts_after_crashes: Counter[TaskName] = field(default_factory=Counter)
     total: Resources = NOTHING
 
 
@@ -86,8 +91,11 @@
     for event in sorted(history, key=lambda item: item.at_s):
         if event.kind.startswith("noted"):
             continue
-        if event.kind == "start":
+        if event.kind == "crashed":
+            state.crashes[event.task] += 1
+        elif event.kind == "start":
             problems += _check_start(event, caller_records, state)
+            problems += _check_crashes(event, state)
             _apply_start(event, state)
             problems += _check_limits(event, capacity, cap, state)
         else:
@@ -128,6 +136,17 @@
         state.failures[event.task] += 1
 
 
+def _check_crashes(event: HistoryEvent, state: ReplayState) -> list[str]:
+    crashes = state.crashes[event.task]
+    if crashes < MAX_CRASHES:
+        return []
+    state.starts_after_crashes[event.task] += 1
+    starts = state.starts_after_crashes[event.task]
+    if starts < MAX_STARTS_AFTER_CRASHES:
+        return []
+    return [f"{event.at_s:.3f} {event.task}: start {starts} after {crashes} crashes under it"]
+
+
 def _check_limits(
     event: HistoryEvent, capacity: Resources, cap: Resources, state: ReplayState
 ) -> list[str]:
--- a/caroblead/standin/vmsimulator.py
+++ b/caroblead/standin/vmsimulator.py
@@ -40,6 +40,9 @@
 
     A task that serves users responds within ``response_ms`` if no other task runs on its VM. Every
     other task on that VM adds its ``disturbs_ms``, or less in proportion if its pace is lower.
+
+    A crashing task takes its VM down ``crashes_after_s`` after its start, for ``down_s`` seconds;
+    with 0 the VM crashes on the start order, which gets no answer.
     """
 
     seconds: float
@@ -47,6 +50,8 @@
     fails: bool = False
     response_ms: float = 0.0
     disturbs_ms: float = 0.0
+    crashes_after_s: float | None = None
+    down_s: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,7 +59,8 @@
     """An event in the life of a run on a VM.
 
     ``kind`` is ``start``, the reason of the end, or ``noted`` with that reason. ``noted`` means
-    that the leader acknowledged the end before the VM's lease expired.
+    that the leader acknowledged the end before the VM's lease expired. It is ``crashed`` for each
+    run of a crashing task that was active on a VM when that VM crashed, for whatever cause.
     """
 
     at_s: float
@@ -108,7 +114,8 @@
     ``get_task_behavior`` returns how a run behaves. ``cut`` holds pairs of a caller and a VM that
     can't reach each other. The next ``late_orders`` orders are executed ``late_s`` seconds late and
     without a response. The next ``lose_answers`` other orders are executed, but their response is
-    lost.
+    lost. ``on_crashed`` is called after a task has crashed its VM, with the VM and the seconds for
+    which it is down.
     """
 
     def __init__(self, get_task_behavior: Callable[[TaskName, int], TaskBehavior]):
@@ -121,6 +128,7 @@
         self.late_orders = 0
         self.late_s = 3.0
         self.fenced_orders = 0
+        self.on_crashed: Callable[[SimulatedVm, float], None] = lambda vm, down_s: None
 
     def add(self, listed: ListedVm):
         """Adds a VM and starts to check its lease every 50 ms."""
@@ -132,10 +140,18 @@
         """Crashes a VM, which restarts ``down_s`` seconds later without its runs and its state."""
         vm = self.vms[name]
         vm.up = False
+        for task, run in vm.active_runs.items():
+            if run.behavior.crashes_after_s is not None:
+                self._record_event("crashed", task, run.number, vm, NOTHING)
         for task in list(vm.active_runs):
             self._end_run(vm, task, EndReason.LAPSED, reported=False)
         self.loop.call_later(down_s, self._restart, vm)
 
+    def _crash_under(self, vm: SimulatedVm, behavior: TaskBehavior):
+        """Crashes a VM because of a task that runs on it."""
+        self.crash(vm.listed.name, behavior.down_s)
+        self.on_crashed(vm, behavior.down_s)
+
     def _restart(self, vm: SimulatedVm):
         vm.incarnation += 1
         vm.up, vm.term, vm.deadline_ms = True, 0, 0
@@ -167,12 +183,20 @@
         if order.deadline_ms <= self.get_clock_ms(vm):
             return Refused(StartRefusal.EXPIRED)
         self._extend_lease(vm, order.deadline_ms)
+        self._begin_run(vm, order)
+        return Started(self.get_clock_ms(vm))
+
+    def _begin_run(self, vm: SimulatedVm, order: StartOrder):
         behavior = self.get_task_behavior(order.task, order.number)
-        reason = EndReason.FAILED if behavior.fails else EndReason.DONE
-        timer = self.loop.call_later(behavior.seconds, self._end_run, vm, order.task, reason)
+        if behavior.crashes_after_s is None:
+            reason = EndReason.FAILED if behavior.fails else EndReason.DONE
+            timer = self.loop.call_later(behavior.seconds, self._end_run, vm, order.task, reason)
+        else:
+            timer = self.loop.call_later(behavior.crashes_after_s, self._crash_under, vm, behavior)
         vm.active_runs[order.task] = ActiveRun(order.number, behavior, self.loop.time(), timer)
         self._record_event("start", order.task, order.number, vm, behavior.need)
-        return Started(self.get_clock_ms(vm))
+        if behavior.crashes_after_s == 0:
+            self._crash_under(vm, behavior)
 
     def _extend_lease(self, vm: SimulatedVm, deadline_ms: int):
         latest = self.get_clock_ms(vm) + MAX_LEASE_MS
@@ -333,6 +357,9 @@
             await asyncio.sleep(0.4)
             return NoAnswer("no response from the VM")
         answer = apply_order(vm)
+        if not vm.up:
+            await asyncio.sleep(0.4)
+            return NoAnswer("no response from the VM")
         await self.caller_faults.wait_while_frozen()
         if self.vm_simulator.lose_answers > 0:
             self.vm_simulator.lose_answers -= 1
--- a/caroblead/standin/work.py
+++ b/caroblead/standin/work.py
@@ -21,7 +21,9 @@
     """Returns a job whose tasks behave as its ``fields`` say.
 
     For example, ``seconds`` is the duration of each run and ``failing_runs`` the number of runs of
-    each task that fail before one succeeds.
+    each task that fail before one succeeds. With ``crashes_after_s`` each run of a task takes its
+    VM down so long after its start, for ``down_s`` seconds; with ``crashing_indexes`` only the
+    tasks with these indexes do.
     """
     return JobSpec(orjson.dumps(fields).decode(), steps)
 
@@ -38,18 +40,33 @@
         spec = site_jobs[task.job]
         fields = read_behavior(spec)
         fails = number <= fields.get("failing_runs", 0)
+        step = spec.steps[task.step]
         return TaskBehavior(
             fields.get("seconds", 0.5),
-            spec.steps[task.step].need,
+            step.need,
             fails,
             fields.get("response_ms", 0.0),
             fields.get("disturbs_ms", 0.0),
+            fields.get("crashes_after_s") if is_crashing(spec, task) else None,
+            fields.get("down_s", 1.0),
         )
 
     return get_task_behavior
 
 
+def is_crashing(job: JobSpec, task: TaskName) -> bool:
+    """Returns whether a task of a job takes down the VMs that start it."""
+    fields = read_behavior(job)
+    indexes = fields.get("crashing_indexes")
+    return "crashes_after_s" in fields and (indexes is None or task.index in indexes)
+
+
 def find_end_state(job: JobSpec) -> JobState:
-    """Returns the state in which a job must end unless it is cancelled."""
-    always_fails = read_behavior(job).get("failing_runs", 0) >= FAILS_EVERY_RUN
-    return JobState.FAILED if always_fails else JobState.DONE
+    """Returns the state that a job must reach unless it is cancelled.
+
+    A job with endless tasks must go on running. A job with crashing tasks must fail.
+    """
+    fields = read_behavior(job)
+    if "crashes_after_s" in fields or fields.get("failing_runs", 0) >= FAILS_EVERY_RUN:
+        return JobState.FAILED
+    return JobState.RUNNING if any(step.endless for step in job.steps) else JobState.DONE
