Give up a task under which VM after VM goes down

Cause: the leader took the runs of a restarted VM as lapsed, and only an end of a run as failed counts.

Now each VM that goes down counts for the tasks that ran there. The counts are kept with the job's progress, so a new leader has them; a record without any has the form of before. Every run on the VM is suspect, so a task with one crash is placed apart from other suspects, one with two alone on an empty VM. A job fails after three crashes of a task that are blamed on it, one of them alone, or after five in all. Several VMs that go down at once have a common cause, a drained VM and one that was only cut off are no evidence, and a run of 30 s clears its task.

A run that a restarted VM doesn't list counts once only: without that, six quick restarts of one VM failed an innocent job (leader_test, submit_while_a_vm_restarts).

Dropping old records and inheriting runs moved out of the leader, which had grown.

--- a/caroblead/dispatch/completion.py
+++ b/caroblead/dispatch/completion.py
@@ -48,6 +48,7 @@
         step.step_progress.done.add(index)
         step.waiting.discard(index)
         step.step_progress.checkpoints.pop(index, None)
+        step.step_progress.crashes.pop(index, None)
         for other in step.active.pop(index, []):
             other.wanted = False
             if not step.spec.gang:
--- a/caroblead/dispatch/crash_test.py
+++ b/caroblead/dispatch/crash_test.py
@@ -1,6 +1,7 @@
 """Tests that a task that crashes its VMs is given up in time, and that no other task suffers."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
@@ -73,34 +74,32 @@
 
 @pytest.mark.parametrize("down_s", [0.3, 1.5, 6.0, 12.0])
 def test_task_that_crashes_its_vms_is_not_started_without_end(down_s):
-    async def scenario():
-        return await run_crashing_task_among_others(down_s, crashes_after_s=0.4)
-
+    scenario = partial(run_crashing_task_among_others, down_s, crashes_after_s=0.4)
     judge(run_scenario(scenario))
 
 
 def test_task_that_crashes_its_vm_before_the_order_is_answered_is_not_started_without_end():
-    async def scenario():
-        return await run_crashing_task_among_others(crashes_after_s=0.0)
-
+    scenario = partial(run_crashing_task_among_others, crashes_after_s=0.0)
     judge(run_scenario(scenario))
 
 
+async def lose_leader_at_each_crash(after_s: float = 0.4):
+    """Runs a crashing task beside other jobs, under a new leader after each crash."""
+    site = await start_site()
+    until_s = asyncio.get_running_loop().time() + 60
+    killer = asyncio.create_task(kill_leader_at_each_crash(site, until_s))
+    await submit(site, "n0", make_spec(make_step(1), crashes_after_s=after_s, down_s=1.5))
+    for _ in range(10):
+        await submit(site, sorted(site.nodes)[0], make_spec(make_step(2), seconds=2))
+        await asyncio.sleep(1.0)
+    await killer
+    await asyncio.sleep(SETTLE_S)
+    return site
+
+
 @pytest.mark.parametrize("after_s", [0.0, 0.4])
 def test_crashes_that_a_former_leader_saw_are_not_forgotten(after_s):
-    async def scenario():
-        site = await start_site()
-        until_s = asyncio.get_running_loop().time() + 60
-        killer = asyncio.create_task(kill_leader_at_each_crash(site, until_s))
-        await submit(site, "n0", make_spec(make_step(1), crashes_after_s=after_s, down_s=1.5))
-        for _ in range(10):
-            await submit(site, sorted(site.nodes)[0], make_spec(make_step(2), seconds=2))
-            await asyncio.sleep(1.0)
-        await killer
-        await asyncio.sleep(SETTLE_S)
-        return site
-
-    judge(run_scenario(scenario))
+    judge(run_scenario(partial(lose_leader_at_each_crash, after_s)))
 
 
 @pytest.mark.parametrize("indexes", [None, [0], [3]])
@@ -156,13 +155,16 @@
 def test_vm_that_is_cut_off_until_its_lease_lapses_is_no_evidence_against_its_tasks():
     async def scenario():
         site = await start_site(vm_count=2)
-        await submit(site, "n0", make_spec(make_step(8), seconds=40))
+        job = await submit(site, "n0", make_spec(make_step(8), seconds=40))
         for number in (0, 1, 0, 1, 0):
             await asyncio.sleep(0.5)
             site.vm_simulator.cut = {(name, f"vm-{number}") for name in site.nodes}
             await asyncio.sleep(12)
             site.vm_simulator.cut = set()
             await asyncio.sleep(1)
+            leader = site.nodes[find_leader(site)].leader
+            (step,) = leader.state.open_jobs[job].steps.values()
+            assert step.step_progress.crashes == {}
         await asyncio.sleep(3 * SETTLE_S)
         return site
 
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -40,6 +40,19 @@
     INHERITED = "inherited"
 
 
+class Isolation(enum.IntEnum):
+    """How far a task is kept from other work because VMs have gone down under it.
+
+    ``APART``: away from other such tasks where possible. ``ALONE``: on a VM without other runs.
+    ``HELD``: not started.
+    """
+
+    NONE = 0
+    APART = 1
+    ALONE = 2
+    HELD = 3
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One run of a task on a VM, from the decision until its end is certain.
@@ -55,6 +68,9 @@
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
     other runs of a VM leave free, works at ``pace`` percent of its speed; the pace of a run of a
     former term is not known.
+
+    ``incarnation`` is that of the VM to which it was ordered, or a later one whose restart has been
+    counted for it.
     """
 
     task: TaskName
@@ -82,6 +98,8 @@
     fills: bool = False
     pace: int | None = FULL_PACE
     charge: Resources | None = None
+    incarnation: int = 0
+    isolation: Isolation = Isolation.NONE
 
     def get_charge(self) -> Resources:
         """Returns the resources that count toward the quota of the team."""
@@ -99,7 +117,8 @@
     doesn't know. The VM gets no new tasks before ``avoid_until_s``. ``reset_s`` is when a restart
     of the VM was noticed. ``fill_pace`` is the pace of its filling runs in percent, and
     ``calm_polls`` counts the polls in a row with low response times, after which it is raised.
-    ``failed_jobs`` are the jobs whose runs failed since the last success.
+    ``failed_jobs`` are the jobs whose runs failed since the last success. ``apart_runs`` and
+    ``alone_runs`` count the runs of either level of isolation.
     """
 
     name: str
@@ -120,6 +139,8 @@
     fill_pace: int = FULL_PACE
     calm_polls: int = 0
     failed_jobs: set[str] = field(default_factory=set)
+    apart_runs: int = 0
+    alone_runs: int = 0
 
     def make_target(self) -> Target:
         """Returns the target for orders to this incarnation."""
@@ -165,6 +186,7 @@
     row = run.vm
     row.runs[run.task, run.number] = run
     row.free = subtract(row.free, run.need)
+    _count_isolated(run, 1)
     fleet.used[run.team] = add(fleet.used.get(run.team, NOTHING), run.get_charge())
 
 
@@ -174,10 +196,24 @@
     if row.runs.pop((run.task, run.number), None) is None:
         return False
     row.free = add(row.free, run.need)
+    _count_isolated(run, -1)
     fleet.used[run.team] = subtract(fleet.used[run.team], run.get_charge())
     return True
 
 
+def _count_isolated(run: Run, change: int):
+    if run.isolation is Isolation.APART:
+        run.vm.apart_runs += change
+    elif run.isolation is Isolation.ALONE:
+        run.vm.alone_runs += change
+
+
+def end_isolation(run: Run):
+    """Lets other work share the VM of a booked run again."""
+    _count_isolated(run, -1)
+    run.isolation = Isolation.NONE
+
+
 def observe_clock(row: VmRow, clock_ms: int, now_s: float):
     """Stores a reading of a VM's clock that has just arrived."""
     row.clock_ms = clock_ms
@@ -228,6 +264,7 @@
         and row.in_registry
         and not row.listed.draining
         and not row.unknown_runs
+        and not row.alone_runs
         and now_s - row.heard_s < SILENT_AFTER_S
         and now_s >= row.avoid_until_s
     )
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -6,21 +6,20 @@
 
 import asyncio
 
-from ..core.clock import get_elapsed_s, get_wall_s
+from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
-from ..core.resource import NOTHING
 from ..core.timer import Timer, await_and_log_errors, call_and_log_errors
-from ..jobs.data import FINAL_STATES, Job, JobState, Progress, StepKey
+from ..jobs.data import FINAL_STATES, Job, JobState, Progress, RunRecord, StepKey
 from ..jobs.ledger import MALFORMED, Change, JobAdded, JobCancelled, StoredJob
-from ..jobs.record import KeyedRecord, RecordKind, decode_progress, make_key
+from ..jobs.record import decode_progress
 from .commit import CommitQueue
 from .completion import drop_runs, list_broken_gang, settle_end
+from .crash import clear_survivors, list_condemned, note_crash, note_loss
 from .fleet import (
     Fleet,
     Run,
     RunPhase,
     VmRow,
-    book_run,
     is_lease_expired,
     put_vm,
     release_run,
@@ -30,31 +29,25 @@
 from .interface import (
     EndedTask,
     EndReason,
-    ListedVm,
     StartRefusal,
 )
 from .orders import OrderSender
 from .rank import take_share_token
+from .retention import DROP_INTERVAL_S, drop_old_jobs
+from .takeover import inherit_run
 from .term import LeaderDependencies, TermState
 from .tick import run_ticks
 from .watch import Watch
 from .work import (
     JobWork,
     StepWork,
-    add_run,
-    copy_step_attributes,
     count_required_runs,
-    get_booked_need,
     open_job,
 )
 
 SWEEP_INTERVAL_S = 0.1
 # Answers on different connections to a VM may arrive out of order by at most this much.
 MAX_REORDERING_S = 0.5
-# How long the state of an ended job can be queried.
-KEEP_ENDED_S = 240.0
-DROP_INTERVAL_S = 1.0
-MAX_DROPS_PER_INTERVAL = 500
 # No task of a job is started for this long after a VM rejected an order as invalid.
 INVALID_BACKOFF_S = 1.0
 
@@ -130,6 +123,10 @@
             if not call_and_log_errors(self._take_over, job, encoded_progress):
                 # Without its recorded runs, a task of the job could start a second time.
                 self.state.open_jobs.pop(job.id, None)
+        for row in self.fleet.rows.values():
+            # The VM has restarted since some of its runs were recorded.
+            if any(run.incarnation < row.incarnation for run in row.runs.values()):
+                self._note_crash(row, row.incarnation)
 
     def _take_over(self, job: Job, encoded_progress: bytes) -> bool:
         """Opens a job with its recorded runs and returns true."""
@@ -137,6 +134,8 @@
         work = self._open_job(job, progress)
         for (occurrence, number), step_progress in progress.steps.items():
             step = work.steps[occurrence, number]
+            if step_progress.crashes:
+                self.state.crash_table.suspects[step.key] = step
             for record in step_progress.runs:
                 self._inherit_run(step, record)
         if job.cancelled:
@@ -150,25 +149,8 @@
         self.state.open_jobs[job.id] = work
         return work
 
-    def _inherit_run(self, step: StepWork, record):
-        row = self.fleet.rows.get(record.vm)
-        if row is None:
-            row = self._add_unlisted(record.vm)
-        task = step.make_task_name(record.task)
-        need = get_booked_need(step.spec)
-        run = Run(task, record.number, row, step.work.job.team, need, RunPhase.INHERITED)
-        run.charge, run.pace = step.spec.need, None
-        book_run(self.fleet, run)
-        add_run(step, copy_step_attributes(step, run))
-        if not row.incarnation:
-            row.incarnation = record.incarnation
-
-    def _add_unlisted(self, name: str) -> VmRow:
-        """Adds a row for a VM that the registry doesn't list but on which runs may still exist."""
-        listed = ListedVm(name, 0, "", "", "", "", (), NOTHING, False)
-        row = put_vm(self.fleet, listed)
-        row.in_registry = False
-        return row
+    def _inherit_run(self, step: StepWork, record: RunRecord):
+        inherit_run(self.fleet, step, record)
 
     def apply_change(self, change: Change):
         """Handles a change that was read from the log."""
@@ -213,9 +195,10 @@
                 if not row.runs and not row.unknown_runs:
                     self._remove_row(row)
         for vm in listed.values():
-            row = put_vm(self.fleet, vm)
-            if vm.incarnation > row.incarnation:
+            row = self.fleet.rows.get(vm.name)
+            if row is not None and vm.incarnation > row.incarnation:
                 self.on_restarted(row, vm.incarnation)
+            row = put_vm(self.fleet, vm)
             if row.name not in self.watch_tasks:
                 self._start_watch(row)
 
@@ -247,6 +230,7 @@
         """
         log("vm:started_again", vm=row.name, incarnation=incarnation, runs=len(row.runs))
         last_list_s = row.heard_s - MAX_REORDERING_S
+        self._note_crash(row, incarnation)
         reset_incarnation(row, incarnation, get_elapsed_s())
         for run in list(row.runs.values()):
             if run.phase is RunPhase.INHERITED:
@@ -260,6 +244,18 @@
             else:
                 self.on_gone(run, "its VM has restarted")
 
+    def _note_crash(self, row: VmRow, incarnation: int):
+        """Counts a restart for the runs on a VM, unless it was planned."""
+        if row.listed.draining:
+            return
+        at_s = row.heard_s or self.fleet.term_began_s
+        table, open_jobs = self.state.crash_table, self.state.open_jobs
+        self._record_steps(note_crash(table, open_jobs, row, incarnation, at_s))
+
+    def _record_steps(self, steps: list[StepWork]):
+        for step in steps:
+            self.commit.mark_dirty(step.work)
+
     def on_fenced(self, vm: str):
         """Handles an answer that shows that a VM has seen a later term."""
         self.lose_term(f"{vm} has seen a later term")
@@ -351,6 +347,9 @@
             if row.runs and is_lease_expired(self.fleet, row, now_s):
                 silent_s = round(now_s - (row.heard_s or self.fleet.term_began_s), 3)
                 log("vm:lapsed", vm=row.name, runs=len(row.runs), silent_s=silent_s)
+                if not row.in_registry and not row.listed.draining:
+                    lost = note_loss(self.state.crash_table, self.state.open_jobs, row)
+                    self._record_steps(lost)
                 for run in list(row.runs.values()):
                     if run.phase is not RunPhase.RECORDING:
                         self.on_gone(run, "the lease of its VM has expired")
@@ -365,15 +364,20 @@
             self.broken_since = {
                 k: at_s for k, at_s in self.broken_since.items() if k.job in open_jobs
             }
+        self._sweep_crashes(now_s)
         self.state.wake.set()
 
+    def _sweep_crashes(self, now_s: float):
+        table = self.state.crash_table
+        self._record_steps(clear_survivors(table, now_s, self.fleet.term_began_s))
+        for step, index in list_condemned(table, now_s):
+            if step.work.state not in FINAL_STATES:
+                task, crashes = step.make_task_name(index), step.step_progress.crashes[index]
+                log("job:given_up", job=task.job, task=str(task), crashes=crashes.total)
+                self._finish(step.work, JobState.FAILED)
+
     def _drop_old_jobs(self):
-        ledger, limit_s = self.dependencies.ledger, get_wall_s() - KEEP_ENDED_S
-        old = [name for name, ended_s in ledger.ended_at_s.items() if ended_s < limit_s]
-        for name in old[:MAX_DROPS_PER_INTERVAL]:
-            for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
-                self.commit.add(KeyedRecord(make_key(kind, name), b""))
-            ledger.ended_at_s.pop(name)
+        drop_old_jobs(self.dependencies.ledger, self.commit)
 
 
 def _decode_or_log(stored: StoredJob) -> Job | None:
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -11,6 +11,15 @@
 from .eviction import choose_evictions, choose_vms_to_reserve, count_fit
 from .fleet import Fleet, Run, VmRow, is_usable
 from .interface import Configuration, TeamLimits, find_service
+from .isolation import (
+    IsolationState,
+    fill_slots,
+    hold_back,
+    keep_gang_slots,
+    list_startable,
+    note_placement,
+    place_isolated,
+)
 from .pacing import score_neighbours
 from .rank import Tier, rank_step
 from .reservation import ReservationTable
@@ -80,6 +89,7 @@
     used: dict[str, Resources]
     rows: list[VmRow]
     reservations: ReservationTable
+    isolation: IsolationState
     plan: Plan = field(default_factory=Plan)
     slow: frozenset[str] | set[str] = frozenset()
     evictions_left: int = MAX_EVICTIONS_PER_TICK
@@ -105,7 +115,9 @@
     rows = [row for row in fleet.rows.values() if is_usable(row, now_s)]
     free = {row.name: row.free for row in rows}
     reservations = ReservationTable(fleet.reservations, now_s)
-    state = PlanningState(fleet, now_s, free, dict(fleet.used), rows, reservations, slow=slow)
+    isolation = IsolationState(fleet, free, reservations, now_s)
+    used = dict(fleet.used)
+    state = PlanningState(fleet, now_s, free, used, rows, reservations, isolation, slow=slow)
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
         reservations.block_until(rank)
@@ -178,6 +190,8 @@
     else:
         _add_placements(state, step, chosen)
     missing = len(step.waiting) - len(chosen)
+    if step.step_progress.crashes:
+        missing -= hold_back(state.isolation, step, rank, chosen, candidates)
     if missing and candidates:
         _make_room(state, step, rank, candidates, team, missing)
 
@@ -235,6 +249,8 @@
 def _add_placements(state: PlanningState, step: StepWork, chosen: list[tuple[int, VmRow]]):
     _book_room(state, step, chosen)
     for index, row in chosen:
+        if step.step_progress.crashes:
+            note_placement(state.isolation, step, index, row)
         ticket = step.advice.tickets.get(row.name, "")
         state.plan.placements.append(Placement(step, index, row, ticket))
     if chosen and len(chosen) == len(step.waiting):
@@ -251,7 +267,8 @@
 
 def _place_step(step: StepWork, candidates, state: PlanningState, team) -> list[tuple[int, VmRow]]:
     need = get_booked_need(step.spec)
-    indexes = sorted(step.waiting)
+    has_crashed = bool(step.step_progress.crashes)
+    indexes = list_startable(step) if has_crashed else sorted(step.waiting)
     used = state.used.get(step.work.job.team, NOTHING)
     allowance = count_allowance(team, used, step.spec.need)
     if step.spec.gang:
@@ -261,11 +278,15 @@
     if not indexes:
         return []
     slots = _count_slots(step, candidates, state, need)
+    if has_crashed and not step.spec.gang:
+        return place_isolated(state.isolation, step, indexes, slots)
+    if has_crashed:
+        slots = keep_gang_slots(state.isolation, step, slots)
     if step.spec.gang and step.spec.same_rack:
         slots = _choose_rack(slots, len(indexes)) or slots
     if step.spec.gang and sum(count for count, _, _ in slots) < len(indexes):
         return []
-    return _fill_slots(indexes, slots)
+    return fill_slots(indexes, slots)
 
 
 def count_allowance(team: TeamLimits | None, used: Resources, need: Resources) -> int:
@@ -333,14 +354,3 @@
         if sum(slot[0] for slot in found) >= count:
             return found
     return None
-
-
-def _fill_slots(indexes: list[int], slots) -> list[tuple[int, VmRow]]:
-    chosen, position = [], 0
-    for count, _, row in slots:
-        for _ in range(count):
-            if position == len(indexes):
-                return chosen
-            chosen.append((indexes[position], row))
-            position += 1
-    return chosen
--- /dev/null
+++ b/caroblead/dispatch/retention.py
@@ -0,0 +1,21 @@
+"""Drops the records of jobs that ended long ago from the log."""
+
+from ..core.clock import get_wall_s
+from ..jobs.ledger import Ledger
+from ..jobs.record import KeyedRecord, RecordKind, make_key
+from .commit import CommitQueue
+
+# How long the state of an ended job can be queried.
+KEEP_ENDED_S = 240.0
+DROP_INTERVAL_S = 1.0
+MAX_DROPS_PER_INTERVAL = 500
+
+
+def drop_old_jobs(ledger: Ledger, commit: CommitQueue):
+    """Deletes the records of the jobs whose state can't be queried any more."""
+    limit_s = get_wall_s() - KEEP_ENDED_S
+    old = [name for name, ended_s in ledger.ended_at_s.items() if ended_s < limit_s]
+    for name in old[:MAX_DROPS_PER_INTERVAL]:
+        for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
+            commit.add(KeyedRecord(make_key(kind, name), b""))
+        ledger.ended_at_s.pop(name)
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -8,6 +8,7 @@
 from ..jobs.ledger import Ledger
 from .advicequeue import AdviceQueue
 from .commit import CommitQueue
+from .crash import CrashTable
 from .fleet import Fleet
 from .health import HealthTable
 from .interface import Configuration, KeyedLog, ListedVm, VmControl
@@ -46,6 +47,7 @@
     order_sender: OrderSender
     open_jobs: dict[str, JobWork] = field(default_factory=dict)
     health: HealthTable = field(default_factory=HealthTable)
+    crash_table: CrashTable = field(default_factory=CrashTable)
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -6,6 +6,7 @@
 from ..core.logsink import log, log_routine
 from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
+from .crash import judge_isolation
 from .fleet import Fleet, Run, book_run
 from .health import is_slow
 from .interface import find_service
@@ -92,6 +93,8 @@
             started_s=now_s,
             charge=step.spec.need,
             checkpoint=step.step_progress.checkpoints.get(placement.index, ""),
+            incarnation=row.incarnation,
+            isolation=judge_isolation(step, placement.index),
         )
         book_run(state.fleet, run)
         add_run(step, copy_step_attributes(step, run))
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -32,6 +32,7 @@
 
     ``waiting`` are the indexes of the tasks that wait, and ``active`` holds the current runs by
     task index. The step may search for runs to evict or VMs to reserve from ``next_search_s`` on.
+    ``wait_for_vm_s`` is since when a task to be run alone has waited for an empty VM, by index.
     """
 
     key: StepKey
@@ -43,6 +44,7 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     last_failed_run: int = 0
     next_search_s: float = 0.0
+    wait_for_vm_s: dict[int, float] = field(default_factory=dict)
 
     def make_task_name(self, index: int) -> TaskName:
         """Returns the name of the task with this index."""
@@ -181,7 +183,7 @@
     for place, step in work.steps.items():
         step_progress = step.step_progress
         step_progress.runs = [
-            RunRecord(run.task.index, run.number, run.vm.name, run.vm.incarnation)
+            RunRecord(run.task.index, run.number, run.vm.name, run.incarnation)
             for runs in step.active.values()
             for run in runs
         ]
--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -121,11 +121,27 @@
     incarnation: int
 
 
+@dataclass(slots=True)
+class CrashRecord:
+    """How many VMs went down under the runs of a task.
+
+    ``total`` counts all of them but planned shutdowns, and ``blamed`` those for which no other
+    cause is known. ``alone`` counts the blamed ones on which nothing else ran. ``last_run`` is the
+    number of the last run that was counted.
+    """
+
+    total: int = 0
+    blamed: int = 0
+    alone: int = 0
+    last_run: int = 0
+
+
 @dataclass(slots=True)
 class StepProgress:
     """The progress of the tasks of one step in one occurrence.
 
-    ``last_run`` is the highest run number assigned in the step so far.
+    ``last_run`` is the highest run number assigned in the step so far. ``crashes`` holds the tasks
+    under which VMs went down, by index; the tasks of a gang share the entry of index 0.
     """
 
     last_run: int = 0
@@ -133,6 +149,7 @@
     failures: dict[int, int] = field(default_factory=dict)
     runs: list[RunRecord] = field(default_factory=list)
     checkpoints: dict[int, str] = field(default_factory=dict)
+    crashes: dict[int, CrashRecord] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -16,6 +16,7 @@
 from .data import (
     FINAL_STATES,
     AdviceTimes,
+    CrashRecord,
     Job,
     JobQueue,
     JobSpec,
@@ -178,12 +179,24 @@
             list(step_progress.failures.items()),
             [[run.task, run.number, run.vm, run.incarnation] for run in step_progress.runs],
             list(step_progress.checkpoints.items()),
+            *_list_extras(step_progress),
         ]
         for (occurrence, step), step_progress in progress.steps.items()
     ]
     return letter + _compress_json(steps)
 
 
+def _list_extras(step_progress: StepProgress) -> list[dict]:
+    """Returns the optional fields of a step as one dictionary, or nothing if all are empty."""
+    extras = {}
+    if step_progress.crashes:
+        extras["c"] = [
+            [index, crashes.total, crashes.blamed, crashes.alone, crashes.last_run]
+            for index, crashes in step_progress.crashes.items()
+        ]
+    return [extras] if extras else []
+
+
 def read_state(value: bytes) -> JobState:
     """Returns the state of a job from the first byte of its progress record."""
     return _STATES[value[:1]]
@@ -199,15 +212,16 @@
     progress = Progress(read_state(value))
     if progress.state in FINAL_STATES:
         return progress
-    for occurrence, step, last_run, done, failures, runs, checkpoints in _decompress_json(
-        value[1:]
-    ):
+    for fields in _decompress_json(value[1:]):
+        occurrence, step, last_run, done, failures, runs, checkpoints, *rest = fields
+        extras = rest[0] if rest else {}
         progress.steps[occurrence, step] = StepProgress(
             last_run,
             set(done),
             dict(map(tuple, failures)),
             [RunRecord(*run) for run in runs],
             dict(map(tuple, checkpoints)),
+            {index: CrashRecord(*counts) for index, *counts in extras.get("c", ())},
         )
     return progress
 
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -1,10 +1,23 @@
 """Encoding of records, and the effect that the order of records has on the ledger."""
 
+import zlib
+
+import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ..core.resource import Resources
-from .data import Job, JobQueue, JobSpec, JobState, Progress, RunRecord, StepProgress, StepSpec
+from .data import (
+    CrashRecord,
+    Job,
+    JobQueue,
+    JobSpec,
+    JobState,
+    Progress,
+    RunRecord,
+    StepProgress,
+    StepSpec,
+)
 from .ledger import (
     JobAdded,
     JobCancelled,
@@ -46,9 +59,18 @@
     failures=st.dictionaries(COUNTS, COUNTS),
     runs=st.lists(RUNS, max_size=3),
     checkpoints=st.dictionaries(COUNTS, st.text(max_size=3)),
+    crashes=st.dictionaries(COUNTS, st.builds(CrashRecord, COUNTS, COUNTS, COUNTS, COUNTS)),
 )
 
 
+def test_progress_without_crashes_has_the_form_that_older_builds_read_and_write():
+    step_progress = StepProgress(3, {0}, {1: 2}, [RunRecord(2, 3, "v", 7)], {2: "c"})
+    value = encode_progress(Progress(JobState.RUNNING, {(0, 0): step_progress}), 0.0)
+    fields = [[0, 0, 3, [0], [[1, 2]], [[2, 3, "v", 7]], [[2, "c"]]]]
+    assert orjson.loads(zlib.decompress(value[1:])) == fields
+    assert decode_progress(value).steps == {(0, 0): step_progress}
+
+
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.lists(STEPS, min_size=1, max_size=3), st.text(max_size=20))
 def test_job_is_read_as_it_was_written(steps, payload):
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -6,16 +6,19 @@
 """
 
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
 from ..dispatch import completion, leader, planning, tick, watch
 from ..dispatch.commit import CommitQueue
+from ..dispatch.crash_test import lose_leader_at_each_crash, run_crashing_task_among_others
 from ..dispatch.fleet import RunPhase, observe_clock, put_vm
 from ..dispatch.interface import NoAnswer
 from ..dispatch.leader import Leader
 from ..dispatch.leader_test import DRAIN_S, drain_a_vm, submit_while_a_vm_restarts
 from ..dispatch.orders import OrderSender
+from ..jobs import record
 from ..jobs.ledger import JobCancelled
 from ..standin.cluster import run_scenario
 from ..standin.trial import check_site, run_trial
@@ -126,6 +129,14 @@
     monkeypatch.setattr(Appender, "append", append_and_deny_unknown)
 
 
+def ignore_crashes(monkeypatch):
+    monkeypatch.setattr(leader, "note_crash", lambda *arguments: [])
+
+
+def forget_crashes_at_a_hand_over(monkeypatch):
+    monkeypatch.setattr(record, "_list_extras", lambda step_progress: [])
+
+
 def lead_twice_in_one_term(monkeypatch):
     take = Election._begin_own_term
 
@@ -163,6 +174,8 @@
     [
         (treat_restarted_vm_as_empty, submit_while_a_vm_restarts),
         (lead_twice_in_one_term, expire_history_early_in_a_term),
+        (ignore_crashes, partial(run_crashing_task_among_others, crashes_after_s=0.4)),
+        (forget_crashes_at_a_hand_over, lose_leader_at_each_crash),
     ],
 )
 def test_scenario_violates_a_guarantee_without_the_mechanism(disable, scenario, monkeypatch):
