Give a task up only after two crashes of its own VM

A task now needs two crashes alone, or five in all, and one with evidence waits up to a second for a VM without other suspects: a new leader hears from one VM first, and had put all of them there.

--- a/caroblead/dispatch/crash.py
+++ b/caroblead/dispatch/crash.py
@@ -4,7 +4,7 @@
 of a task is kept with the progress of its job, so that a new leader knows it too. A crash with a
 common cause, such as the loss of a rack, is told apart: several VMs went down at about the same
 time, and most of them didn't run the step. The job of a task that certainly crashes VMs is given
-up. For example, a task under which three VMs went down, the last of which ran nothing else, fails.
+up. For example, a task fails under which three VMs went down, two of which ran nothing else.
 """
 
 from dataclasses import dataclass, field
@@ -14,8 +14,9 @@
 from .fleet import Isolation, Run, RunPhase, VmRow, end_isolation
 from .work import JobWork, StepWork
 
-# A task is given up after so many crashes of which it is blamed, if it was alone in one of them.
+# A task is given up after so many crashes for which it is blamed, with so many of them alone.
 MAX_BLAMED = 3
+MAX_ALONE = 2
 # It is also given up after so many crashes altogether, if it is blamed for one of them.
 MAX_TOTAL = 5
 # It runs alone after so many crashes.
@@ -85,7 +86,7 @@
 
 
 def _is_condemned(record: CrashRecord) -> bool:
-    if record.blamed >= MAX_BLAMED and record.alone:
+    if record.blamed >= MAX_BLAMED and record.alone >= MAX_ALONE:
         return True
     return record.total >= MAX_TOTAL and record.blamed > 0
 
--- a/caroblead/dispatch/isolation.py
+++ b/caroblead/dispatch/isolation.py
@@ -21,6 +21,8 @@
 # its users miss it meanwhile.
 MAX_WAIT_S = 12.0
 MAX_WAIT_ENDLESS_S = 2.5
+# How long a task waits for a VM without other suspects.
+MAX_WAIT_APART_S = 1.0
 # The fractions of the VMs that may run isolated tasks or be reserved for them. At least one may.
 MAX_ALONE_FRACTION = 0.5
 MAX_RESERVED_FRACTION = 0.125
@@ -48,6 +50,7 @@
 
 def note_placement(state: IsolationState, step: StepWork, index: int, row: VmRow):
     """Notes the placement of a task, and closes its VM to other tasks if it must be alone."""
+    step.wait_for_vm_s.pop(index, None)
     level = judge_isolation(step, index)
     if level is Isolation.APART:
         state.apart[row.name] += 1
@@ -93,7 +96,7 @@
     if alone:
         left = [slot for slot in left if not _is_reserved_for(state, step, slot[2])]
     for index in apart:
-        _place_one(chosen, left, index, _choose_apart(state, left))
+        _place_one(chosen, left, index, _choose_apart(state, step, index, left))
     return chosen + fill_slots(others, left)
 
 
@@ -107,21 +110,23 @@
     """Returns the slot for a task that must be alone, or ``None`` if it has to wait."""
     empty = [slot for slot in slots if _is_empty(state, slot[2])]
     if empty and _may_isolate_more(state):
-        step.wait_for_vm_s.pop(index, None)
         return min(empty, key=lambda slot: _has_restarted(state, slot[2]))
-    if not _has_waited(state, step, index):
+    if not _has_waited(state, step, index, _get_max_wait(step)):
         return None
     return min(slots, key=lambda slot: (len(slot[2].runs), slot[1], slot[2].name), default=None)
 
 
-def _choose_apart(state: IsolationState, slots):
-    """Returns the best slot of those with the fewest suspects."""
+def _choose_apart(state: IsolationState, step: StepWork, index: int, slots):
+    """Returns the slot for a task to be kept from other suspects, or ``None`` if it has to wait."""
 
     def rate_slot(slot) -> tuple[int, bool]:
         row = slot[2]
         return row.apart_runs + state.apart[row.name], _has_restarted(state, row)
 
-    return min(slots, key=rate_slot, default=None)
+    best = min(slots, key=rate_slot, default=None)
+    if best is None or rate_slot(best)[0] == 0:
+        return best
+    return best if _has_waited(state, step, index, MAX_WAIT_APART_S) else None
 
 
 def _has_restarted(state: IsolationState, row: VmRow) -> bool:
@@ -134,9 +139,8 @@
         return slots
     empty = [slot for slot in slots if _is_empty(state, slot[2])]
     if sum(count for count, _, _ in empty) >= step.spec.count:
-        step.wait_for_vm_s.pop(0, None)
         return empty
-    return slots if _has_waited(state, step, 0) else []
+    return slots if _has_waited(state, step, 0, _get_max_wait(step)) else []
 
 
 def _is_empty(state: IsolationState, row: VmRow) -> bool:
@@ -149,8 +153,11 @@
     return count < max(1, int(len(rows) * MAX_ALONE_FRACTION))
 
 
-def _has_waited(state: IsolationState, step: StepWork, index: int) -> bool:
-    max_wait_s = MAX_WAIT_ENDLESS_S if step.spec.endless else MAX_WAIT_S
+def _get_max_wait(step: StepWork) -> float:
+    return MAX_WAIT_ENDLESS_S if step.spec.endless else MAX_WAIT_S
+
+
+def _has_waited(state: IsolationState, step: StepWork, index: int, max_wait_s: float) -> bool:
     return state.now_s - step.wait_for_vm_s.setdefault(index, state.now_s) >= max_wait_s
 
 
