Keep a restarted VM from carrying out an order that was settled before

A start order without an answer is settled by a stop, which the VM forgets when it restarts; the order, carried out seconds later, then starts the task in the next life. The leader now remembers such an order for 30 s and stops its run again when the VM has restarted, also if the VM had left the registry meanwhile.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -19,6 +19,8 @@
 SILENT_AFTER_S = 1.3
 
 
+# A start order without an answer may be carried out this late.
+MAX_ORDER_DELAY_S = 30.0
 # The pace of a run that isn't throttled, in percent.
 FULL_PACE = 100
 
@@ -118,7 +120,9 @@
     of the VM was noticed. ``fill_pace`` is the pace of its filling runs in percent, and
     ``calm_polls`` counts the polls in a row with low response times, after which it is raised.
     ``failed_jobs`` are the jobs whose runs failed since the last success. ``apart_runs`` and
-    ``alone_runs`` count the runs of either level of isolation.
+    ``alone_runs`` count the runs of either level of isolation. ``late_orders`` are the start orders
+    that got no answer and were settled by a stop, with the time until which they may be carried
+    out if the VM restarts and forgets the stop.
     """
 
     name: str
@@ -141,6 +145,7 @@
     failed_jobs: set[str] = field(default_factory=set)
     apart_runs: int = 0
     alone_runs: int = 0
+    late_orders: dict[tuple[TaskName, int], float] = field(default_factory=dict)
 
     def make_target(self) -> Target:
         """Returns the target for orders to this incarnation."""
@@ -214,6 +219,18 @@
     run.isolation = Isolation.NONE
 
 
+def note_late_order(run: Run, now_s: float):
+    """Remembers a settled start order that got no answer, for the case that its VM restarts."""
+    row = run.vm
+    row.late_orders = {key: at_s for key, at_s in row.late_orders.items() if at_s > now_s}
+    row.late_orders[run.task, run.number] = now_s + MAX_ORDER_DELAY_S
+
+
+def has_late_orders(row: VmRow, now_s: float) -> bool:
+    """Returns whether orders may still reach a VM that has forgotten that they are settled."""
+    return any(at_s > now_s for at_s in row.late_orders.values())
+
+
 def observe_clock(row: VmRow, clock_ms: int, now_s: float):
     """Stores a reading of a VM's clock that has just arrived."""
     row.clock_ms = clock_ms
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -20,7 +20,9 @@
     Run,
     RunPhase,
     VmRow,
+    has_late_orders,
     is_lease_expired,
+    note_late_order,
     put_vm,
     release_run,
     reset_incarnation,
@@ -192,7 +194,7 @@
         for row in list(self.fleet.rows.values()):
             if row.name not in listed:
                 row.in_registry = False
-                if not row.runs and not row.unknown_runs:
+                if not (row.runs or row.unknown_runs or has_late_orders(row, get_elapsed_s())):
                     self._remove_row(row)
         for vm in listed.values():
             row = self.fleet.rows.get(vm.name)
@@ -232,6 +234,7 @@
         last_list_s = row.heard_s - MAX_REORDERING_S
         self._note_crash(row, incarnation)
         reset_incarnation(row, incarnation, get_elapsed_s())
+        self.order_sender.refuse_late_orders(row, get_elapsed_s())
         for run in list(row.runs.values()):
             if run.phase is RunPhase.INHERITED:
                 continue
@@ -302,6 +305,8 @@
         """Handles a run that certainly doesn't exist although its VM listed no end for it."""
         if not release_run(self.fleet, run):
             return
+        if run.unanswered:
+            note_late_order(run, get_elapsed_s())
         log("task:gone", task=str(run.task), run=run.number, vm=run.vm.name, detail=detail)
         if run.wanted:
             self._settle(run, EndReason.LAPSED, "")
--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -143,6 +143,25 @@
     judge(run_scenario(scenario))
 
 
+@pytest.mark.parametrize("is_unlisted", [False, True])
+def test_order_settled_with_one_incarnation_of_a_vm_is_not_carried_out_by_the_next(is_unlisted):
+    async def scenario():
+        site = await start_site(vm_count=2)
+        site.vm_simulator.late_s = 6.0
+        site.vm_simulator.late_orders = 1
+        await submit(site, "n0", make_spec(make_step(1), seconds=0.3))
+        await asyncio.sleep(2.5)
+        site.vm_simulator.crash("vm-0", 1.0)
+        if is_unlisted:
+            site.registry.append([KeyedRecord("vm-0", b"")], None)
+        await asyncio.sleep(1.3)
+        put_vm_entry(site, make_listed_vm(0, 2))
+        await asyncio.sleep(25)
+        return site
+
+    judge(run_scenario(scenario))
+
+
 async def submit_while_a_vm_restarts():
     """Submits jobs just after a VM has restarted, before any node has noticed it."""
     site = await start_site(vm_count=2)
