--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -8,6 +8,7 @@
 from ..core.resource import Resources, fits
 from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
+from .crash import judge_isolation
 from .fleet import Fleet, Run, book_run
 from .health import is_slow
 from .interface import find_service
@@ -105,6 +106,8 @@
         started_s=now_s,
         charge=step.spec.need,
         checkpoint=step.step_progress.checkpoints.get(placement.index, ""),
+        incarnation=row.incarnation,
+        isolation=judge_isolation(step, placement.index),
     )
     book_run(state.fleet, run)
     add_run(step, copy_step_attributes(step, run))
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -16,6 +16,7 @@
 from .data import (
     FINAL_STATES,
     AdviceTimes,
+    CrashRecord,
     Job,
     JobQueue,
     JobSpec,
@@ -96,6 +97,7 @@
 _STATES = {letter: state for state, letter in _STATE_LETTERS.items()}
 # The names of the extras of a step's row in a progress record.
 _LAST_FAILED_RUN = "g"
+_CRASHES = "c"
 _STEP_FIELDS = StepSpec.__dataclass_fields__
 _SCALAR_STEP_FIELDS = [name for name in _STEP_FIELDS if name not in ("need", "after")]
 
@@ -192,6 +194,11 @@
     extras = {}
     if step_progress.last_failed_run:
         extras[_LAST_FAILED_RUN] = step_progress.last_failed_run
+    if step_progress.crashes:
+        extras[_CRASHES] = [
+            [index, record.total, record.blamed, record.alone, record.last_run]
+            for index, record in step_progress.crashes.items()
+        ]
     return extras
 
 
@@ -225,6 +232,7 @@
         [RunRecord(*run) for run in runs],
         dict(map(tuple, checkpoints)),
         extras.get(_LAST_FAILED_RUN, 0),
+        {index: CrashRecord(*counts) for index, *counts in extras.get(_CRASHES, ())},
     )
 
 
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
@@ -17,11 +18,13 @@
     shrink_while_four_starts_are_recorded,
 )
 from ..dispatch.commit import CommitQueue
+from ..dispatch.crash_test import lose_leader_at_each_crash, run_crashing_task_among_others
 from ..dispatch.fleet import RunPhase, observe_clock, put_vm
 from ..dispatch.interface import NoAnswer
 from ..dispatch.leader import Leader
 from ..dispatch.leader_test import DRAIN_S, drain_a_vm, submit_while_a_vm_restarts
 from ..dispatch.orders import OrderSender
+from ..jobs import record
 from ..jobs.ledger import JobCancelled
 from ..standin.cluster import CAPACITY, run_scenario
 from ..standin.trial import check_site, run_trial
@@ -152,6 +155,14 @@
     monkeypatch.setattr(Appender, "append", append_and_deny_unknown)
 
 
+def ignore_crashes(monkeypatch):
+    monkeypatch.setattr(leader, "note_crash", lambda *arguments: [])
+
+
+def forget_crashes_at_a_hand_over(monkeypatch):
+    monkeypatch.setattr(record, "_list_extras", lambda step_progress: [])
+
+
 def lead_twice_in_one_term(monkeypatch):
     take = Election._begin_own_term
 
@@ -194,6 +205,8 @@
         (send_without_a_second_look_at_the_capacity, shrink_while_four_starts_are_recorded),
         (trust_entries_of_any_age, reconnect_to_the_store_after_a_vm_has_shrunk),
         (trust_the_entry_of_a_former_incarnation, restart_a_vm_long_before_its_entry),
+        (ignore_crashes, partial(run_crashing_task_among_others, crashes_after_s=0.4)),
+        (forget_crashes_at_a_hand_over, lose_leader_at_each_crash),
     ],
 )
 def test_scenario_violates_a_guarantee_without_the_mechanism(disable, scenario, monkeypatch):
--- a/caroblead/node/trial_test.py
+++ b/caroblead/node/trial_test.py
@@ -12,6 +12,12 @@
 # The members of a gang failed before and after a hand-over, and were counted as two failures.
 GANG_FAILURE_COUNTED_TWICE = (2016,)
 
+# With crashing jobs, as pairs of a seed and their number. An innocent job was given up because its
+# task shared VMs with a crashing one, and another fault crashed the next VM.
+INNOCENT_GIVEN_UP = ((2071, 2),)
+# A restarted VM carried out an order that its former incarnation had been told to refuse.
+SETTLED_ORDER_CARRIED_OUT = ((2008, 2), (2044, 2), (2053, 2), (3000, 2), (1004, 3), (1029, 3))
+
 
 @pytest.mark.parametrize(
     "seed", [*SEEDS, *TERM_LED_TWICE, *ANSWERED_BY_NEXT_INCARNATION, *GANG_FAILURE_COUNTED_TWICE]
@@ -20,3 +26,13 @@
     outcome = run_trial(seed)
     assert outcome.problems == [], outcome.faults
     assert outcome.starts > 50
+
+
+@pytest.mark.parametrize(
+    ("seed", "crashing_jobs"),
+    [*((seed, 2) for seed in range(6)), *INNOCENT_GIVEN_UP, *SETTLED_ORDER_CARRIED_OUT],
+)
+def test_trial_with_crashing_jobs_keeps_every_guarantee(seed, crashing_jobs):
+    outcome = run_trial(seed, crashing_jobs)
+    assert outcome.problems == [], outcome.faults
+    assert outcome.starts > 50
