Let a node stand again after an unexpected error in its attempt to lead

Cause: a mark that is removed after an await that may never come. The attempt set the state `standing`, and only an answer or an expected error of the append set it back; a node in that state never stands.

Evidence: test_node_whose_attempt_raised_an_unexpected_error_stands_again failed before: no leader within 10 s.

The state is now set back in a `finally` block.

--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -177,7 +177,11 @@
             await self.log.append([record], Fence(number, 0), APPEND_TIMEOUT_S)
         except (LogError, FencedError) as error:
             log("election:not_won", term=number, error=str(error))
-        # The log decides who has won; this node remains a follower until it reads the result there.
+        finally:
+            self._end_attempt()
+
+    def _end_attempt(self):
+        """Makes this node a follower again: only what it reads in the log tells who has won."""
         if self.state == "standing":
             self.step_back()
             self.silent_since_s = get_elapsed_s()
