Bound the wait for a resignation when a weak node hands its term over

What callers would see: a weak node that leads again keeps the leadership although strong nodes could lead, and is slow with all jobs until its process restarts.

Cause: a wait for something that never comes. If the term ends before the resignation is acknowledged, nobody resolves the wait any more; the periodic call that started it counts as running, and the timer service skips all later ones.

The wait has the limit that a planned stop already used.

--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -58,6 +58,8 @@
 # drain, and until when open calls may finish.
 NOTICE_FRACTION = 0.4
 FINISH_FRACTION = 0.75
+# How long a leader waits until its resignation is stored. A term that ends meanwhile answers nobody.
+RESIGN_TIMEOUT_S = 1.0
 
 
 @dataclass(slots=True)
@@ -287,7 +289,7 @@
         successor = await self._find_successor(names)
         if successor and self.leader is leader and not leader.state.lost:
             log("node:yields", term=leader.term, heir=successor)
-            await leader.resign(successor)
+            await _resign(leader, successor)
 
     # Stopping.
 
@@ -318,10 +320,7 @@
             successor = await self._find_successor(others)
         if self.leader is not None:
             self.leader.commit.add(removal)
-            try:
-                await asyncio.wait_for(self.leader.resign(successor), 1.0)
-            except TimeoutError:
-                log("node:not_handed_over")
+            await _resign(self.leader, successor)
             self._close_leader()
         else:
             await self.appender.append(removal, 0.5)
@@ -361,6 +360,13 @@
         return write_node_metrics(self.metrics, gauges)
 
 
+async def _resign(leader: Leader, successor: str):
+    try:
+        await asyncio.wait_for(leader.resign(successor), RESIGN_TIMEOUT_S)
+    except TimeoutError:
+        log("node:not_handed_over")
+
+
 def apply_or_log(ledger: Ledger, record: KeyedRecord) -> Change | None:
     """Applies a record to the ledger and returns what changed; logs and skips a malformed one."""
     try:
