--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 soak: $(VENV)/ready
 	$(BIN)/python -m caroblead.bench.soak --seeds 50
+	$(BIN)/python -m caroblead.bench.plannedsoak --seeds 10
 
 lint: $(VENV)/ready
 	$(BIN)/black --check --quiet caroblead
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -58,7 +58,7 @@
 # drain, and until when open calls may finish.
 NOTICE_FRACTION = 0.4
 FINISH_FRACTION = 0.75
-# How long a leader waits until its resignation is stored. A term that ends meanwhile answers nobody.
+# How long a leader waits for its resignation to be stored; a term that has ended never tells.
 RESIGN_TIMEOUT_S = 1.0
 
 
