Use no VM for a step that the advice service allows no longer

Cause: the set of allowed VMs only grew, so a VM that was allowed once and then restarted as another kind stayed a candidate for which no ticket ever came. Class: a fact kept after what it rests on is gone. Found by the review, by reading; test_vm_that_is_allowed_no_longer_is_not_chosen_for_a_step failed before. What is allowed is now what the last answer gave tickets for.

--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -160,13 +160,12 @@
     """Stores an answer about the named VMs.
 
     A VM that is allowed but for which there was no place in the request may be asked about again,
-    and isn't used until then: a step that chose it would have no ticket for it.
+    and isn't used until then: a step that chose it would have no ticket for it. The same holds for
+    one that is allowed no longer, as after a restart as another kind.
     """
-    unnamed = advice.allowed.difference(names)
-    advice.allowed -= unnamed
-    advice.asked -= unnamed
+    advice.asked -= advice.allowed.difference(names)
     advice.asked.update(names)
-    advice.allowed.update(tickets)
+    advice.allowed = set(tickets)
     advice.tickets = dict(tickets)
     advice.received_s = get_elapsed_s()
     advice.retry_s = 0.0
--- a/caroblead/dispatch/tick_test.py
+++ b/caroblead/dispatch/tick_test.py
@@ -48,3 +48,11 @@
         assert advice.allowed == set(advice.tickets)
         with_room = set(fleet.rows) - set(names_to_fill)
         assert len(with_room & advice.allowed) == min(len(with_room), MAX_VMS_PER_REQUEST)
+
+
+def test_vm_that_is_allowed_no_longer_is_not_chosen_for_a_step():
+    advice = StepAdvice()
+    store_answer(advice, ["v0", "v1"], {"v0": "t", "v1": "t"})
+    store_answer(advice, ["v0", "v1"], {"v1": "t"})
+    assert advice.allowed == {"v1"}
+    assert advice.asked == {"v0", "v1"}
