--- a/caroblead/dispatch/capacity_test.py
+++ b/caroblead/dispatch/capacity_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ..core.resource import NOTHING, Resources, subtract
+from ..core.resource import NOTHING, Resources
 from ..jobs.record import KeyedRecord
 from ..standin.cluster import (
     CAPACITY,
@@ -22,9 +22,7 @@
 from ..standin.trial import check_site
 from ..standin.verdict import SHRINK_GRACE_S
 from ..standin.work import make_spec, make_step
-from .eviction import choose_evictions, count_fit
 from .fleet import RunPhase
-from .planning_test import make_backlog, make_fleet, make_steps, plan
 
 HALF = Resources(2000, 8192)
 SETTLE_S = SHRINK_GRACE_S + 0.1
@@ -354,140 +352,3 @@
         return site
 
     judge(run_scenario(scenario))
-
-
-async def restart_a_vm_with_less_capacity(entry_delay_s):
-    """Restarts a VM with half of its capacity under the same name while jobs are submitted.
-
-    Its new entry is in the registry ``entry_delay_s`` after the restart.
-    """
-    site = await start_site(vm_count=2)
-    stream = asyncio.create_task(submit_stream(site, make_spec(make_step(4), seconds=1), 30, 0.4))
-    await asyncio.sleep(2)
-    site.vm_simulator.crash("vm-0", 0.3)
-    site.vm_simulator.resize("vm-0", HALF)
-    await asyncio.sleep(0.3 + entry_delay_s)
-    put_vm_entry(site, make_listed_vm(0, 2, capacity=HALF))
-    await stream
-    await asyncio.sleep(40)
-    return site
-
-
-async def restart_a_vm_long_before_its_entry():
-    """Restarts a VM with half of its capacity 9 s before the registry shows that."""
-    return await restart_a_vm_with_less_capacity(9.0)
-
-
-@pytest.mark.parametrize("entry_delay_s", [0.05, 1.5, 9.0])
-def test_vm_that_restarts_with_less_capacity_is_not_overfilled(entry_delay_s):
-    async def scenario():
-        site = await restart_a_vm_with_less_capacity(entry_delay_s)
-        late = [event for event in list_starts(site) if event.vm == "vm-0" and event.at_s > 14]
-        assert late
-        return site
-
-    judge(run_scenario(scenario))
-
-
-async def reconnect_to_the_store_after_a_vm_has_shrunk():
-    """Cuts all nodes off from the store while the only VM shrinks; their jobs wait meanwhile."""
-    site = await start_site(vm_count=1)
-    for _ in range(6):
-        await submit(site, find_leader(site), make_spec(make_step(2), seconds=6))
-    await asyncio.sleep(0.3)
-    for caller_faults in site.faults_by_node.values():
-        caller_faults.silent = True
-    await resize_vm(site, 0, HALF)
-    await asyncio.sleep(SHRINK_GRACE_S + 1)
-    for caller_faults in site.faults_by_node.values():
-        caller_faults.silent = False
-    await asyncio.sleep(120)
-    return site
-
-
-def test_leader_that_reaches_the_store_again_reads_the_registry_before_it_starts_anything():
-    judge(run_scenario(reconnect_to_the_store_after_a_vm_has_shrunk))
-
-
-def test_leader_that_cannot_read_the_registry_starts_nothing_until_it_can():
-    async def scenario():
-        site = await start_site(vm_count=1, node_count=1)
-        (node,) = site.nodes.values()
-        faults = node.registry_tail.log.caller_faults = CallerFaults(down=True)
-        await resize_vm(site, 0, HALF)
-        await asyncio.sleep(SETTLE_S)
-        job = await submit(site, "n0", make_spec(make_step(4), seconds=2))
-        await asyncio.sleep(2)
-        assert list_starts(site, job) == []
-        faults.down = False
-        await asyncio.sleep(1)
-        assert len(list_starts(site, job)) == 2
-        await asyncio.sleep(8)
-        return site
-
-    judge(run_scenario(scenario))
-
-
-# The plan of a tick.
-
-
-def shrink_row(row, capacity):
-    row.free = subtract(row.free, subtract(row.listed.capacity, capacity))
-    row.listed = make_listed_vm(0, capacity=capacity)
-
-
-def test_nothing_fits_into_free_resources_of_which_one_is_negative():
-    assert count_fit(Resources(1000, 0), Resources(-1000, 8000)) == 0
-    assert count_fit(Resources(1000, 0), Resources(3000, -1)) == 0
-    assert count_fit(Resources(0, 512), Resources(-1, 4096)) == 0
-    assert count_fit(Resources(1000, 512), Resources(3000, 4096)) == 3
-
-
-def test_vm_over_its_capacity_does_not_hide_one_with_free_resources():
-    fleet, _ = make_backlog(0)
-    for name in ("v0", "v1", "v2"):
-        fleet.rows[name].free = Resources(-2000, -100)
-    steps = make_steps(make_step(3))
-    assert [item.vm.name for item in plan(steps, fleet).placements] == ["v3"]
-    fleet.rows["v3"].free = Resources(-1, 8000)
-    assert plan(steps, fleet).placements == []
-
-
-def make_vm_without_memory_beside_evictable_run():
-    """Returns two VMs: one has cores free but less than no memory, the other an evictable run."""
-    fleet, _ = make_backlog(0)
-    rows = [fleet.rows[name] for name in ("v0", "v1")]
-    (run,) = rows[1].runs.values()
-    run.evictable = True
-    return rows, {"v0": Resources(1000, -100), "v1": Resources(1000, 7900)}
-
-
-def test_no_run_is_evicted_for_a_gang_that_then_still_does_not_fit():
-    rows, free = make_vm_without_memory_beside_evictable_run()
-    (gang,) = make_steps(make_step(5, need=Resources(1000, 0), gang=True))
-    assert choose_evictions(gang, rows, free, 5, 1.0) is None
-
-
-def test_vm_without_memory_does_not_keep_urgent_work_from_evicting_elsewhere():
-    rows, free = make_vm_without_memory_beside_evictable_run()
-    (step,) = make_steps(make_step(1, need=Resources(2000, 0)))
-    free["v0"] = Resources(2000, -100)
-    found = choose_evictions(step, rows, free, 1, 1.0)
-    assert [run.vm.name for run in found.runs] == ["v1"]
-
-
-def test_gang_lets_go_of_vms_that_have_become_too_small_for_it():
-    fleet = make_fleet(3)
-    for row in fleet.rows.values():
-        row.free = Resources(1000, 8000)
-    (gang,) = make_steps(make_step(8, need=Resources(1000, 1), gang=True), name="g")
-    plan([gang], fleet)
-    assert sorted(fleet.reservations) == ["v0", "v1"]
-    shrink_row(fleet.rows["v1"], Resources(2000, 8000))
-    gang.next_search_s = 0.0
-    plan([gang], fleet)
-    assert sorted(fleet.reservations) == ["v0", "v2"]
-    shrink_row(fleet.rows["v2"], Resources(2000, 8000))
-    gang.next_search_s = 0.0
-    plan([gang], fleet)
-    assert fleet.reservations == {}
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -12,8 +12,6 @@
 
 from ..dispatch import completion, fleet, leader, orders, planning, tick, watch
 from ..dispatch.capacity_test import (
-    reconnect_to_the_store_after_a_vm_has_shrunk,
-    restart_a_vm_long_before_its_entry,
     shrink_and_grow_under_load,
     shrink_while_four_starts_are_recorded,
 )
@@ -23,6 +21,10 @@
 from ..dispatch.interface import NoAnswer
 from ..dispatch.leader import Leader
 from ..dispatch.leader_test import DRAIN_S, drain_a_vm, submit_while_a_vm_restarts
+from ..dispatch.listing_test import (
+    reconnect_to_the_store_after_a_vm_has_shrunk,
+    restart_a_vm_long_before_its_entry,
+)
 from ..dispatch.orders import OrderSender
 from ..jobs import record
 from ..jobs.ledger import JobCancelled
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -18,7 +18,8 @@
 from ..node.setting import NodeSettings
 from .keyedlog import CallerFaults, MemoryLog, MemoryTopic
 from .verdict import CallerRecords
-from .vmsimulator import SimulatedVm, SimulatedVmControl, VmSimulator
+from .vmcontrol import SimulatedVmControl
+from .vmsimulator import SimulatedVm, VmSimulator
 from .work import make_behavior_lookup
 
 # A VM that is down for longer loses its registry entry, and a restarted one registers this late.
