--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -162,7 +162,14 @@
 
 
 def forget_crashes_at_a_hand_over(monkeypatch):
-    monkeypatch.setattr(record, "_list_extras", lambda step_progress: [])
+    encode = record._encode_extras
+
+    def leave_out_crashes(step_progress):
+        extras = encode(step_progress)
+        extras.pop(record._CRASHES, None)
+        return extras
+
+    monkeypatch.setattr(record, "_encode_extras", leave_out_crashes)
 
 
 def lead_twice_in_one_term(monkeypatch):
