--- a/caroblead/dispatch/rank.py
+++ b/caroblead/dispatch/rank.py
@@ -3,9 +3,8 @@
 A lasting step that has served its users goes first, since they are without a task that has ended.
 Work that can still be done in time goes before work that is already late or that its team submitted
 beyond its share, and both go before work that is too late to be of use, which a lasting step never
-is. This is meant for overload,
-in which serving the oldest work first would make all of it late. Within a tier the priority of the
-queue decides, and then the time by which the job should be done.
+is. This is meant for overload, in which serving the oldest work first would make all of it late.
+Within a tier the priority of the queue decides, and then the time by which the job should be done.
 """
 
 import enum
