--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -9,6 +9,7 @@
 from .advicequeue import AdviceQueue
 from .commit import CommitQueue
 from .crash import CrashTable
+from .features import Features
 from .fleet import Fleet
 from .health import HealthTable
 from .interface import Configuration, KeyedLog, ListedVm, VmControl
@@ -35,6 +36,7 @@
     get_listed_age_s: Callable[[], float]
     on_lost: Callable[[str], None]
     lease_s: float
+    features: Features = Features()
 
 
 @dataclass(slots=True, eq=False)
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -4,6 +4,7 @@
 
 from ..core.resource import Resources
 from ..jobs.data import Job, JobState, Progress, RunRecord, StepKey, StepProgress, StepSpec
+from .expectation import Expectation, expect_by_estimate
 from .fleet import Run
 from .interface import TaskName
 
@@ -33,6 +34,7 @@
     ``waiting`` are the indexes of the tasks that wait, and ``active`` holds the current runs by
     task index. The step may search for runs to evict or VMs to reserve from ``next_search_s`` on.
     ``wait_for_vm_s`` is since when a task to be run alone has waited for an empty VM, by index.
+    ``expectation`` is how long a run is expected to take; ``None`` stands for the estimate.
     """
 
     key: StepKey
@@ -44,12 +46,18 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     next_search_s: float = 0.0
     wait_for_vm_s: dict[int, float] = field(default_factory=dict)
+    expectation: Expectation | None = None
 
     def make_task_name(self, index: int) -> TaskName:
         """Returns the name of the task with this index."""
         return TaskName(self.key.job, self.key.occurrence, self.key.step, index)
 
 
+def get_expectation(step: StepWork) -> Expectation:
+    """Returns how long a run of a task of the step is expected to take."""
+    return step.expectation or expect_by_estimate(step.spec)
+
+
 @dataclass(slots=True, eq=False)
 class JobWork:
     """The state of a job with its steps by occurrence and number.
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -30,7 +30,7 @@
 from .peer import Peers
 from .registry import Registry
 from .requesthandler import RequestHandler
-from .setting import NodeSettings, compute_strength
+from .setting import NodeSettings, compute_strength, make_features
 from .tail import Tail
 
 LEDGER_WAIT_S = 0.2
@@ -242,6 +242,7 @@
             get_listed_age_s=self.registry_tail.get_age_s,
             on_lost=self._on_term_lost,
             lease_s=self.settings.lease_s,
+            features=make_features(self.settings),
         )
         self.leader = Leader(dependencies, number, term_confirmed_s)
         self.ledger_tail.pause_s = LEADER_LEDGER_PAUSE_S
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -13,6 +13,7 @@
 from attrs import validators
 
 from ..core.outcome import Checked, Fault, Reason, Step
+from ..dispatch.features import Features
 
 # The traffic that a leader sends and receives when it keeps one reference core busy.
 LINK_MBPS_PER_CORE = 10.0
@@ -30,6 +31,10 @@
     return attrs.field(validator=checks, default=default)
 
 
+def _define_switch():
+    return attrs.field(validator=validators.instance_of(bool), default=False)
+
+
 def _define_port(default: Any = attrs.NOTHING):
     checks = [validators.instance_of(int), validators.ge(0), validators.le(65535)]
     return attrs.field(validator=checks, default=default)
@@ -50,6 +55,9 @@
     still be accepted, ``lease_s`` how long a VM keeps running its tasks without contact to the
     leader, ``grace_s`` how long a planned stop may take. The node may use ``core_share`` of a core
     that is ``core_speed`` times as fast as a reference core, and a network link of ``link_mbps``.
+    ``evacuation_ms`` is within how long no task may start any more in an availability zone that is
+    evacuated, 0 where zones aren't evacuated. The last settings switch on the optional decisions of
+    :class:`caroblead.dispatch.features.Features`.
     """
 
     node: str = _define_text()
@@ -68,6 +76,12 @@
     core_share: float = _define_number(1.0, above=0)
     core_speed: float = _define_number(1.0, above=0)
     link_mbps: float = _define_number(1000.0, above=0)
+    evacuation_ms: float = _define_number(0, above=-1)
+    admission: bool = _define_switch()
+    fair_share: bool = _define_switch()
+    learned_durations: bool = _define_switch()
+    backfill: bool = _define_switch()
+    sized_advice: bool = _define_switch()
 
 
 def compute_strength(settings: NodeSettings) -> float:
@@ -76,6 +90,18 @@
     return min(cores, settings.link_mbps / LINK_MBPS_PER_CORE)
 
 
+def make_features(settings: NodeSettings) -> Features:
+    """Returns the optional decisions that the settings switch on."""
+    return Features(
+        evacuation_s=settings.evacuation_ms / 1000,
+        admission=settings.admission,
+        fair_share=settings.fair_share,
+        learned_durations=settings.learned_durations,
+        backfill=settings.backfill,
+        sized_advice=settings.sized_advice,
+    )
+
+
 def load_node_settings(path: str) -> Checked:
     """Reads the settings of a node and returns them, or every error found in them."""
     try:
