Limit the open orders of a leader that is short of processor time

New leaders were replaced while they decoded up to 656 open jobs before their first heartbeat (11 terms).

Change: the number of open start orders follows the median answer time, the timeout of orders and the margin of tickets follow what is usual, stops are retried at growing intervals, the first heartbeat of a term is sent at once, and the timeout for it grows with the open jobs.

--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -42,6 +42,8 @@
         self.extra_records: list[KeyedRecord] = []
         self.callbacks: list[Callable] = []
         self.wake = asyncio.Event()
+        # The first append shows the other nodes at once that the new leader is at work.
+        self.wake.set()
         self.appends = 0
         self.append_started_s: float | None = None
 
--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -210,7 +210,12 @@
 
 
 class VmControl(Protocol):
-    """The control interface of the VMs."""
+    """The control interface of the VMs.
+
+    An order that has no answer after ``order_timeout_s`` seconds is given up.
+    """
+
+    order_timeout_s: float
 
     async def start(self, target: Target, order: StartOrder) -> StartOutcome:
         """Starts a task."""
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -7,9 +7,12 @@
 from ..core.timer import await_and_log_errors
 from .fleet import Fleet, Run, RunPhase, grant_deadline, is_within_capacity
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, TaskName, VmControl
+from .orderwindow import OrderWindow, tells_congestion
 from .report import Reports
 
 STOP_RETRY_S = 0.1
+# A VM that leaves stops unanswered is asked again at growing intervals up to this one.
+MAX_STOP_RETRY_S = 0.8
 # How long a VM gets no new tasks after it refused a start for a reason that lies in the VM.
 AVOID_S = {StartRefusal.UNHEALTHY: 2.0, StartRefusal.NO_ROOM: 1.0}
 DEFAULT_AVOID_S = 0.5
@@ -31,6 +34,7 @@
         self.reports = reports
         self.tasks: set[asyncio.Task] = set()
         self.refusals: dict[str, int] = {}
+        self.window = OrderWindow()
 
     def spawn(self, coroutine):
         """Runs a coroutine as a task that :meth:`close` cancels."""
@@ -76,11 +80,24 @@
             run.ticket,
         )
         incarnation = row.incarnation
+        sent_s = get_elapsed_s()
         outcome = await self.vms.start(row.make_target(), order)
+        self._observe_duration(run, outcome, sent_s)
         if (run.task, run.number) not in row.runs or row.incarnation != incarnation:
             return
         self._handle_start_outcome(run, outcome)
 
+    def _observe_duration(self, run: Run, outcome, sent_s: float):
+        """Adapts the number of open orders and their timeout to how long an answer took."""
+        now_s = get_elapsed_s()
+        self.window.delays_s.append(now_s - run.started_s)
+        if isinstance(outcome, NoAnswer) and not tells_congestion(run, now_s):
+            return
+        if self.window.observe(now_s - sent_s, now_s):
+            usual_s = round(self.window.get_usual_answer_s(), 3)
+            log("orders:limited", open=int(self.window.size), usual_answer_s=usual_s)
+        self.vms.order_timeout_s = self.window.get_order_timeout_s()
+
     def _handle_start_outcome(self, run: Run, outcome):
         row = run.vm
         run.order_answered_s = get_elapsed_s()
@@ -123,6 +140,7 @@
 
     async def _stop(self, run: Run):
         row = run.vm
+        retry_s = STOP_RETRY_S
         while (run.task, run.number) in row.runs:
             outcome = await self.vms.stop(row.make_target(), run.task, run.number, self.term)
             if isinstance(outcome, Started):
@@ -142,7 +160,8 @@
                     vm=row.name,
                     detail=outcome.detail,
                 )
-            await asyncio.sleep(STOP_RETRY_S)
+            await asyncio.sleep(retry_s)
+            retry_s = min(MAX_STOP_RETRY_S, 2 * retry_s)
 
     def pace(self, run: Run, percent: int):
         """Throttles a run to a percentage of its speed; after a failure the next poll retries."""
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -21,13 +21,14 @@
     note_placement,
     place_isolated,
 )
+from .orderwindow import OrderLimits
 from .pacing import score_neighbours
 from .rank import Tier, rank_step
 from .reservation import ReservationTable
 from .work import StepWork, get_booked_need
 
-# A ticket is not used this close to its expiry, since the order takes time to reach the VM.
-TICKET_MARGIN_S = 0.3
+# A longer margin would leave no time in which tickets are used at all.
+MAX_MARGIN_FRACTION = 0.5
 # Penalties are added to the score of a VM, and the lowest score is the best fit. This one is for a
 # VM that isn't on the rack of the step's data.
 OFF_RACK_PENALTY = 2.0
@@ -95,6 +96,7 @@
     slow: frozenset[str] | set[str] = frozenset()
     evictions_left: int = MAX_EVICTIONS_PER_TICK
     searches_left: int = MAX_SEARCHES_PER_TICK
+    limits: OrderLimits = OrderLimits()
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
 
 
@@ -105,10 +107,12 @@
     now_s: float,
     wall_s: float,
     slow: frozenset[str] | set[str] = frozenset(),
+    limits: OrderLimits = OrderLimits(),
 ) -> Plan:
     """Returns the plan for now under the configuration in force.
 
-    The VMs named in ``slow`` are only used when no other has room.
+    The VMs named in ``slow`` are only used when no other has room. The plan ends with
+    the step that reaches the number of starts in ``limits``, so it holds the most urgent ones.
 
     For example, if one VM has a core free, a step of two tasks that need a core each gets one
     placement, or none if it is a gang.
@@ -118,9 +122,12 @@
     reservations = ReservationTable(fleet.reservations, now_s)
     isolation = IsolationState(fleet, free, reservations, now_s)
     used = dict(fleet.used)
-    state = PlanningState(fleet, now_s, free, used, rows, reservations, isolation, slow=slow)
+    state = PlanningState(fleet, now_s, free, used, rows, reservations, isolation)
+    state.slow, state.limits = slow, limits
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
+        if len(state.plan.placements) >= limits.max_starts:
+            break
         reservations.block_until(rank)
         job = step.work.job
         service = find_service(configuration, job.queue)
@@ -179,7 +186,7 @@
     chosen = _place_step(step, candidates, state, team) if may_fit else []
     if not chosen:
         pool.misses += 1
-    if terms is not None and not _has_tickets(step, chosen, terms, state.now_s):
+    if terms is not None and not _has_tickets(step, chosen, terms, state):
         if not step.advice.pending and state.now_s >= step.advice.retry_s:
             if chosen or (may_fit and _may_fit_elsewhere(state, pool, step, need)):
                 state.plan.advice_needed.append(step)
@@ -214,8 +221,10 @@
     return may_search or state.reservations.count(step.key) > 0
 
 
-def _has_tickets(step: StepWork, chosen, terms, now_s: float) -> bool:
-    if not chosen or now_s - step.advice.received_s >= terms.valid_s - TICKET_MARGIN_S:
+def _has_tickets(step: StepWork, chosen, terms, state: PlanningState) -> bool:
+    margin_s = min(state.limits.ticket_margin_s, MAX_MARGIN_FRACTION * terms.valid_s)
+    valid_s = terms.valid_s - margin_s
+    if not chosen or state.now_s - step.advice.received_s >= valid_s:
         return False
     return all(row.name in step.advice.tickets for _, row in chosen)
 
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -63,9 +63,12 @@
         return
     if not is_registry_current(state.dependencies):
         return
+    limits = state.order_sender.window.make_limits()
+    if not limits.max_starts:
+        return
     configuration = state.dependencies.get_configuration()
     slow = {name for name in state.health.speeds if is_slow(state.health, name, now_s)}
-    plan = plan_starts(steps, state.fleet, configuration, now_s, wall_s, slow)
+    plan = plan_starts(steps, state.fleet, configuration, now_s, wall_s, slow, limits)
     _start_placements(state, plan.placements, now_s)
     for run in plan.evictions:
         log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
@@ -110,6 +113,7 @@
         isolation=judge_isolation(step, placement.index),
     )
     book_run(state.fleet, run)
+    state.order_sender.window.add(run)
     add_run(step, copy_step_attributes(step, run))
     if step.work.state is JobState.QUEUED:
         step.work.state = JobState.RUNNING
--- a/caroblead/node/election.py
+++ b/caroblead/node/election.py
@@ -35,6 +35,10 @@
 # By this age of a term the usual gap shows how slow its leader is.
 YOUNG_TERM_S = 10.0
 GAP_SMOOTHING_FACTOR = 0.2
+# How much longer the first heartbeat of a term may take for each open job, which a new leader on a
+# slow machine has to decode before it can write to the log.
+TAKEOVER_S_PER_JOB = 0.002
+MAX_TAKEOVER_S = 2.0
 # Random delays make nodes stand one after another, so that usually only one of them is a candidate.
 MAX_JITTER_S = 0.2
 MAX_RESIGNATION_JITTER_S = 0.15
@@ -64,6 +68,8 @@
         self.term: Term | None = None
         self.term_began_s = get_elapsed_s()
         self.short_terms = 0
+        self.heard_in_term = False
+        self.count_open_jobs: Callable[[], int] = lambda: 0
         self.resigned = False
         self.extra_delay_s = 0.0
         self.jitter_s = self._draw_jitter()
@@ -88,6 +94,7 @@
             min(now_s - self.silent_since_s, MAX_ELECTION_TIMEOUT_S) - self.heartbeat_gap_s
         )
         self.silent_since_s = now_s
+        self.heard_in_term = True
 
     def get_election_timeout_s(self) -> float:
         """Returns for how long the leader may write nothing to the log before it is replaced."""
@@ -95,6 +102,8 @@
         timeout_s = max(MIN_ELECTION_TIMEOUT_S, timeout_s)
         if get_elapsed_s() - self.term_began_s < YOUNG_TERM_S:
             timeout_s *= SHORT_TERM_FACTOR**self.short_terms
+        if not self.heard_in_term:
+            timeout_s += min(MAX_TAKEOVER_S, TAKEOVER_S_PER_JOB * self.count_open_jobs())
         return min(MAX_ELECTION_TIMEOUT_S, timeout_s)
 
     def _count_short_term(self):
@@ -123,6 +132,7 @@
         self.term = term
         self.resigned = False
         self.handle_heartbeat()
+        self.heard_in_term = False
         self.jitter_s = self._draw_jitter()
         if term.incarnation == self.incarnation and self.state != "leaving":
             self._begin_own_term(term)
--- a/caroblead/node/election_test.py
+++ b/caroblead/node/election_test.py
@@ -2,7 +2,7 @@
 
 from ..jobs.ledger import RESIGNATION_NAME, LeaderResigned, Ledger, apply_record
 from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, Term, make_key
-from .election import find_strong, list_candidates
+from .election import MAX_TAKEOVER_S, Election, find_strong, list_candidates
 from .setting import NodeSettings, compute_strength
 
 
@@ -49,3 +49,16 @@
     assert apply_record(ledger, KeyedRecord(key, b"4 n2")) == LeaderResigned("n2")
     assert apply_record(ledger, KeyedRecord(key, b"4")) == LeaderResigned("")
     assert apply_record(ledger, KeyedRecord(key, b"3 n2")) is None
+
+
+def test_new_leader_with_many_open_jobs_has_longer_for_its_first_heartbeat():
+    # Guards against leaders on slow machines that replace each other while they decode the jobs.
+    election = Election("n1", None, None, seed=1)
+    election.handle_term(Term(1, "n2", "n2~1"))
+    plain_s = election.get_election_timeout_s()
+    election.count_open_jobs = lambda: 300
+    assert round(election.get_election_timeout_s() - plain_s, 6) == 0.6
+    election.count_open_jobs = lambda: 10_000
+    assert election.get_election_timeout_s() <= plain_s + MAX_TAKEOVER_S
+    election.handle_heartbeat()
+    assert election.get_election_timeout_s() <= plain_s
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -107,6 +107,7 @@
         )
         registry.on_change = self._on_registry_change
         self.election = Election(settings.node, adapters.ledger_log, self.ledger_tail, seed)
+        self.election.count_open_jobs = lambda: len(self.ledger.jobs)
         self.election.on_won = self._begin_term
         self.election.on_displaced = self._abandon_term
         self.peers = Peers(settings.node, adapters.advisor)
@@ -356,6 +357,7 @@
         }
         if leader is not None:
             gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
+            gauges["open_orders_limit"] = leader.order_sender.window.size
             gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
             gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
         return write_node_metrics(self.metrics, gauges)
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -15,9 +15,9 @@
     TaskName,
     parse_task_name,
 )
+from ..dispatch.orderwindow import MIN_ORDER_TIMEOUT_S
 from .http import CallFailedError, HttpClient, Reply
 
-COMMAND_TIMEOUT_S = 0.4
 HOLD_TIMEOUT_MARGIN_S = 0.4
 # What decoding a response of another form than a VM's raises.
 MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
@@ -39,6 +39,7 @@
 
     def __init__(self, http: HttpClient):
         self.http = http
+        self.order_timeout_s = MIN_ORDER_TIMEOUT_S
 
     async def start(self, target: Target, order: StartOrder) -> StartOutcome:
         """Starts a task."""
@@ -98,7 +99,7 @@
 
     async def _send_command(self, target: Target, operation: str, message: dict) -> StartOutcome:
         try:
-            reply = await self._post(target, operation, message, COMMAND_TIMEOUT_S)
+            reply = await self._post(target, operation, message, self.order_timeout_s)
             if reply.status == 200:
                 return Started(int(reply.decode().get("clockMs", 0)))
             return _decode_refusal(reply)
