Split the planning of a tick by concern

The pools and the room on their VMs are in room.py now, evictions and reservations in makeroom.py, the scores of VMs in score.py. No function changes. The tests that replace functions by name replace them in the new modules; the mutant that ignores quotas does so in both that use them.

--- a/caroblead/bench/dispatch.py
+++ b/caroblead/bench/dispatch.py
@@ -15,7 +15,7 @@
 import cyclopts
 
 from ..core.resource import Resources
-from ..dispatch import planning
+from ..dispatch import makeroom, planning
 from ..dispatch.fleet import Fleet, Run, RunPhase, book_run, observe_first_answer, put_vm
 from ..dispatch.interface import Configuration, ListedVm, TaskName
 from ..dispatch.work import StepWork, open_due_occurrences, open_job
@@ -130,7 +130,7 @@
         unbounded = functools.partial(planning.PlanningState, searches_left=backlog)
         with (
             mock.patch.object(planning, "PlanningState", unbounded),
-            mock.patch.object(planning, "SEARCH_GAP_S", 0.0),
+            mock.patch.object(makeroom, "SEARCH_GAP_S", 0.0),
         ):
             unbounded_ms = time_tick(backlog, fill_fraction)
         print(
--- /dev/null
+++ b/caroblead/dispatch/makeroom.py
@@ -0,0 +1,68 @@
+"""Makes room for a step that finds none: evicts less urgent runs, or reserves VMs for a gang."""
+
+from ..core.resource import NOTHING
+from .eviction import choose_evictions, choose_vms_to_reserve
+from .fleet import VmRow
+from .rank import Tier
+from .room import PlanningState, count_allowance
+from .score import count_tasks_per_vm
+from .work import StepWork
+
+# The interval at which a step without room searches for runs to evict or VMs to reserve.
+SEARCH_GAP_S = 0.25
+
+
+def may_make_room(state: PlanningState, step: StepWork) -> bool:
+    """Returns whether a step may search now for room that could be made for it.
+
+    The search is limited because it takes long and seldom finds more than the one shortly before.
+    A step that holds reservations may always go on, so that it can extend or use them.
+    """
+    may_search = state.searches_left > 0 and state.now_s >= step.next_search_s
+    return may_search or state.reservations.count(step.key) > 0
+
+
+def make_room(state: PlanningState, step: StepWork, rank: tuple, candidates, team, missing: int):
+    """Evicts less urgent runs for a step, or reserves VMs for a gang until enough runs end."""
+    used = state.used.get(step.work.job.team, NOTHING)
+    allowance = count_allowance(team, used, step.spec.need)
+    if allowance <= 0 or (step.spec.gang and allowance < missing):
+        return
+    if state.reservations.count(step.key):
+        if not step.spec.gang or _extend_reservations(state, step, candidates, missing):
+            return
+        state.reservations.release(step.key)
+    if state.now_s < step.next_search_s or state.searches_left <= 0:
+        return
+    state.searches_left -= 1
+    step.next_search_s = state.now_s + SEARCH_GAP_S
+    chosen = None
+    if rank[0] <= Tier.IN_TIME and state.evictions_left > 0:
+        chosen = choose_evictions(
+            step, candidates, state.free, min(missing, allowance), state.now_s
+        )
+    if chosen and len(chosen.runs) <= state.evictions_left:
+        state.evictions_left -= len(chosen.runs)
+        state.plan.evictions += chosen.runs
+        state.reservations.reserve(step.key, rank, chosen.rows)
+    elif step.spec.gang:
+        rows = choose_vms_to_reserve(step, candidates, state.free, missing)
+        state.reservations.reserve(step.key, rank, rows)
+
+
+def _extend_reservations(state: PlanningState, step: StepWork, candidates, missing: int) -> bool:
+    """Extends the reservations of a gang; returns false if their VMs don't suffice for it now."""
+    kept = [row for row in candidates if state.reservations.is_reserved_for(row.name, step.key)]
+    if not choose_vms_to_reserve(step, kept, state.free, missing):
+        return False
+    state.reservations.extend(step.key)
+    return True
+
+
+def list_open_for(step: StepWork, candidates, chosen) -> list[VmRow]:
+    """Returns the candidates that may take one more task of a step, if they get room."""
+    limit = step.spec.max_per_vm
+    if not limit:
+        return candidates
+    counts = count_tasks_per_vm(step, chosen)
+    return [row for row in candidates if counts[row.name] < limit]
--- a/caroblead/dispatch/planning_test.py
+++ b/caroblead/dispatch/planning_test.py
@@ -5,7 +5,7 @@
 
 from ..core.resource import NOTHING, Resources, add, fits
 from ..jobs.data import AdviceTimes, Job, JobQueue, JobSpec, Progress, StepSpec
-from . import planning
+from . import makeroom, room
 from .fleet import Fleet, Run, RunPhase, book_run, put_vm
 from .interface import Configuration, ListedVm, TaskName, TeamLimits
 from .planning import plan_starts
@@ -132,9 +132,9 @@
     def record_search(step, candidates, free, missing, now_s):
         searched.append(step.key.job)
 
-    monkeypatch.setattr(planning, "choose_evictions", record_search)
+    monkeypatch.setattr(makeroom, "choose_evictions", record_search)
     fleet, steps = make_backlog(50)
-    most = planning.MAX_SEARCHES_PER_TICK
+    most = room.MAX_SEARCHES_PER_TICK
     for number in range(1, 8):
         plan(steps, fleet)
         # Each tick continues where the last one stopped, and no step searches twice in a row.
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -10,7 +10,18 @@
 
 import pytest
 
-from ..dispatch import completion, fleet, leader, orders, planning, tick, watch
+from ..dispatch import (
+    completion,
+    fleet,
+    leader,
+    makeroom,
+    orders,
+    planning,
+    room,
+    score,
+    tick,
+    watch,
+)
 from ..dispatch.capacity_test import (
     shrink_and_grow_under_load,
     shrink_while_four_starts_are_recorded,
@@ -98,12 +109,14 @@
 
 
 def ignore_team_quota(monkeypatch):
-    monkeypatch.setattr(planning, "count_allowance", lambda team, used, need: 1_000)
+    for module in (planning, makeroom):
+        monkeypatch.setattr(module, "count_allowance", lambda team, used, need: 1_000)
 
 
 def ignore_free_capacity(monkeypatch):
-    monkeypatch.setattr(planning, "fits", lambda need, free: True)
-    monkeypatch.setattr(planning, "count_fit", lambda need, free: 4)
+    monkeypatch.setattr(room, "fits", lambda need, free: True)
+    monkeypatch.setattr(score, "fits", lambda need, free: True)
+    monkeypatch.setattr(score, "count_fit", lambda need, free: 4)
     send_without_a_second_look_at_the_capacity(monkeypatch)
 
 
