Pass the enabled optional decisions to the planning of a tick

Several parts decide within plan_starts and are switched on by settings. They share one parameter, features, which is also in the planning state. Nothing uses it yet.

Tests of dispatch and node: 276 passed.

--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -6,6 +6,7 @@
 """
 
 from ..core.resource import NOTHING
+from .features import Features
 from .fleet import Fleet, VmRow, is_usable
 from .interface import Configuration, find_service
 from .isolation import (
@@ -46,10 +47,12 @@
     now_s: float,
     wall_s: float,
     slow: frozenset[str] | set[str] = frozenset(),
+    features: Features = Features(),
 ) -> Plan:
     """Returns the plan for now under the configuration in force.
 
-    The VMs named in ``slow`` are only used when no other has room.
+    The VMs named in ``slow`` are only used when no other has room. Of the optional decisions,
+    those enabled in ``features`` are made.
 
     For example, if one VM has a core free, a step of two tasks that need a core each gets one
     placement, or none if it is a gang.
@@ -59,7 +62,9 @@
     reservations = ReservationTable(fleet.reservations, now_s)
     isolation = IsolationState(fleet, free, reservations, now_s)
     used = dict(fleet.used)
-    state = PlanningState(fleet, now_s, free, used, rows, reservations, isolation, slow=slow)
+    state = PlanningState(
+        fleet, now_s, free, used, rows, reservations, isolation, slow=slow, features=features
+    )
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
         reservations.block_until(rank)
--- a/caroblead/dispatch/room.py
+++ b/caroblead/dispatch/room.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..core.resource import NOTHING, Resources, add, fits, subtract
+from .features import Features
 from .fleet import Fleet, Run, VmRow
 from .interface import TeamLimits
 from .isolation import IsolationState
@@ -69,6 +70,7 @@
     isolation: IsolationState
     plan: Plan = field(default_factory=Plan)
     slow: frozenset[str] | set[str] = frozenset()
+    features: Features = Features()
     evictions_left: int = MAX_EVICTIONS_PER_TICK
     searches_left: int = MAX_SEARCHES_PER_TICK
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -65,7 +65,8 @@
         return
     configuration = state.dependencies.get_configuration()
     slow = {name for name in state.health.speeds if is_slow(state.health, name, now_s)}
-    plan = plan_starts(steps, state.fleet, configuration, now_s, wall_s, slow)
+    features = state.dependencies.features
+    plan = plan_starts(steps, state.fleet, configuration, now_s, wall_s, slow, features)
     _start_placements(state, plan.placements, now_s)
     for run in plan.evictions:
         log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
