Evacuate availability zones on the operators' request

Operators had no means to keep new tasks out of a zone. Each node now follows the keys evacuate/ZONE of the operators' topic where evacuation_ms isn't 0. A start order carries a deadline, after which its VM refuses it, so that a delayed order can't arrive after the bound. VMs that are still cold are only used when no other has room.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -165,13 +165,19 @@
 
 @dataclass(slots=True, eq=False)
 class Fleet:
-    """All VMs, the resources that each team uses, the reservations, and when this term began."""
+    """All VMs, the resources that each team uses, the reservations, and when this term began.
+
+    No task starts in the ``evacuated_zones``, and no start order sent now may be carried out later
+    than ``start_until_s``.
+    """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
     used: dict[str, Resources] = field(default_factory=dict)
     term_began_s: float = 0.0
     lease_s: float = 8.0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
+    start_until_s: float = float("inf")
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -68,7 +68,9 @@
 class ListedVm:
     """A VM as the platform's registry shows it.
 
-    ``incarnation`` grows when the VM restarts under the same name.
+    ``incarnation`` grows when the VM restarts under the same name. A VM that has just started is
+    slow for ``cold_remaining_ms`` from when it wrote the entry; entries that differ only in that
+    count as equal.
     """
 
     name: str
@@ -80,6 +82,7 @@
     labels: tuple[str, ...]
     capacity: Resources
     draining: bool
+    cold_remaining_ms: int = field(default=0, compare=False)
 
 
 class EndReason(enum.StrEnum):
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -5,6 +5,7 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
 from ..core.timer import await_and_log_errors
+from .evacuation import limit_start_deadline
 from .fleet import Fleet, Run, RunPhase, grant_deadline, is_within_capacity
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, TaskName, VmControl
 from .report import Reports
@@ -66,11 +67,12 @@
             self.reports.on_refused(run, StartRefusal.NO_TICKET)
             return
         run.phase = RunPhase.ORDERED
+        deadline_ms = grant_deadline(self.fleet, row, self.reports.get_confirmed_s())
         order = StartOrder(
             run.task,
             run.number,
             payload,
-            grant_deadline(self.fleet, row, self.reports.get_confirmed_s()),
+            limit_start_deadline(row, deadline_ms, self.fleet.start_until_s),
             self.term,
             run.checkpoint,
             run.ticket,
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -113,7 +113,11 @@
     For example, if one VM has a core free, a step of two tasks that need a core each gets one
     placement, or none if it is a gang.
     """
-    rows = [row for row in fleet.rows.values() if is_usable(row, now_s)]
+    rows = [
+        row
+        for row in fleet.rows.values()
+        if is_usable(row, now_s) and row.listed.zone not in fleet.evacuated_zones
+    ]
     free = {row.name: row.free for row in rows}
     reservations = ReservationTable(fleet.reservations, now_s)
     isolation = IsolationState(fleet, free, reservations, now_s)
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -9,6 +9,7 @@
 from .advicequeue import AdviceQueue
 from .commit import CommitQueue
 from .crash import CrashTable
+from .evacuation import EvacuationState, ZoneReading
 from .features import Features
 from .fleet import Fleet
 from .health import HealthTable
@@ -37,6 +38,7 @@
     on_lost: Callable[[str], None]
     lease_s: float
     features: Features = Features()
+    get_evacuations: Callable[[], ZoneReading] = ZoneReading
 
 
 @dataclass(slots=True, eq=False)
@@ -55,6 +57,7 @@
     open_jobs: dict[str, JobWork] = field(default_factory=dict)
     health: HealthTable = field(default_factory=HealthTable)
     crash_table: CrashTable = field(default_factory=CrashTable)
+    evacuation: EvacuationState = field(default_factory=EvacuationState)
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -9,6 +9,12 @@
 from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
 from .crash import judge_isolation
+from .evacuationcheck import (
+    apply_evacuations,
+    find_withdrawal_reason,
+    list_cold_vms,
+    report_waiting_steps,
+)
 from .fleet import Fleet, Run, book_run
 from .health import is_slow
 from .interface import find_service
@@ -61,10 +67,12 @@
             steps += [step for step in work.steps.values() if is_step_ready(step)]
     if not steps or state.commit.get_delay_s() > MAX_RECORD_DELAY_S:
         return
-    if not is_registry_current(state.dependencies):
+    if not is_registry_current(state.dependencies) or not apply_evacuations(state):
         return
+    report_waiting_steps(state, steps, now_s)
     configuration = state.dependencies.get_configuration()
     slow = {name for name in state.health.speeds if is_slow(state.health, name, now_s)}
+    slow |= list_cold_vms(state, now_s)
     plan = plan_starts(steps, state.fleet, configuration, now_s, wall_s, slow)
     _start_placements(state, plan.placements, now_s)
     for run in plan.evictions:
@@ -130,27 +138,42 @@
 def _send_starts(state: TermState, step: StepWork, runs: list[Run]):
     if state.lost:
         return
-    if is_registry_current(state.dependencies):
-        state.order_sender.start_all(runs, step.work.job.spec.payload)
+    detail = find_withdrawal_reason(state, runs)
+    if not is_registry_current(state.dependencies):
+        detail = "the registry was not read in time"
+    if detail:
+        state.order_sender.withdraw(runs, detail)
     else:
-        state.order_sender.withdraw(runs, "the registry was not read in time")
+        state.order_sender.start_all(runs, step.work.job.spec.payload)
 
 
-def choose_vms_to_ask(fleet: Fleet, service: str, advice: StepAdvice, need: Resources) -> list[str]:
+def choose_vms_to_ask(
+    fleet: Fleet,
+    service: str,
+    advice: StepAdvice,
+    need: Resources,
+    cold: frozenset[str] | set[str] = frozenset(),
+) -> list[str]:
     """Returns the VMs to ask about: first those that have room for a task of the step.
 
-    Of these and of the others, those known as allowed come before those not yet asked about, and
-    VMs with more free cores before those with fewer.
+    Of these and of the others, ``cold`` ones come last; of the rest, those known as allowed come
+    before those not yet asked about, and VMs with more free cores before those with fewer.
     """
     rows = [
         row
         for row in fleet.rows.values()
         if row.listed.service == service
         and row.in_registry
+        and row.listed.zone not in fleet.evacuated_zones
         and (row.name in advice.allowed or row.name not in advice.asked)
     ]
     rows.sort(
-        key=lambda row: (fits(need, row.free), row.name in advice.asked, row.free.millicores),
+        key=lambda row: (
+            fits(need, row.free),
+            row.name not in cold,
+            row.name in advice.asked,
+            row.free.millicores,
+        ),
         reverse=True,
     )
     return [row.name for row in rows[:MAX_VMS_PER_REQUEST]]
@@ -186,7 +209,8 @@
 async def _request_advice(state: TermState, step: StepWork, service: str):
     queue = step.work.job.queue
     advice = step.advice
-    names = choose_vms_to_ask(state.fleet, service, advice, get_booked_need(step.spec))
+    cold = list_cold_vms(state, get_elapsed_s())
+    names = choose_vms_to_ask(state.fleet, service, advice, get_booked_need(step.spec), cold)
     terms = queue.advice
     expected_s = terms.decision_s + terms.per_vm_s * len(names)
     started_s = get_elapsed_s()
--- a/caroblead/events/jobtrace.py
+++ b/caroblead/events/jobtrace.py
@@ -28,6 +28,8 @@
     "node:starting",
     "node:draining",
     "appender:",
+    "zone:",
+    "evacuation:",
 )
 
 
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -25,6 +25,7 @@
 from .appender import Appender, AppendResult
 from .configuration import ConfigurationView
 from .election import ELECTION_CHECK_INTERVAL_S, Election, find_strong, list_candidates
+from .evacuation import EvacuationView
 from .metric import NodeMetrics, write_node_metrics
 from .notifier import CompletionNotifier
 from .peer import Peers
@@ -83,10 +84,12 @@
         configuration_view: ConfigurationView,
         registry: Registry,
         seed: int,
+        evacuation_view: EvacuationView | None = None,
     ):
         self.settings = settings
         self.adapters = adapters
         self.configuration_view = configuration_view
+        self.evacuation_view = evacuation_view or EvacuationView(lambda key: None)
         self.registry = registry
         self.ledger = Ledger()
         self.metrics = NodeMetrics()
@@ -98,7 +101,7 @@
         self.configuration_tail = Tail(
             "configuration",
             adapters.configuration_log,
-            configuration_view.consume,
+            self._consume_operators,
             CONFIGURATION_WAIT_S,
             0.0,
         )
@@ -227,6 +230,11 @@
         if self.leader is not None:
             self.leader.on_listed()
 
+    def _consume_operators(self, batch: Batch, complete: bool):
+        self.configuration_view.consume(batch, complete)
+        if self.settings.evacuation_ms > 0:
+            self.evacuation_view.consume(batch, complete)
+
     # Leading.
 
     def _begin_term(self, number: int, term_confirmed_s: float):
@@ -243,11 +251,16 @@
             on_lost=self._on_term_lost,
             lease_s=self.settings.lease_s,
             features=make_features(self.settings),
+            get_evacuations=lambda: self.evacuation_view.make_reading(
+                self.configuration_tail.current_s
+            ),
         )
         self.leader = Leader(dependencies, number, term_confirmed_s)
         self.ledger_tail.pause_s = LEADER_LEDGER_PAUSE_S
         self.registry_tail.pause_s = LEADER_REGISTRY_PAUSE_S
         self.registry_tail.read_now.set()
+        if self.settings.evacuation_ms > 0:
+            self.configuration_tail.needed_s = self.leader.fleet.term_began_s
         self.leader.start()
 
     def _on_term_lost(self, detail: str):
@@ -354,6 +367,8 @@
             "advice_calls_total": float(self.advice_queue.calls),
             "vms_listed": float(len(self.registry.vms)),
         }
+        if self.settings.evacuation_ms > 0:
+            gauges["zones_evacuated"] = float(len(self.evacuation_view.zones))
         if leader is not None:
             gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
             gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
--- a/caroblead/node/tail.py
+++ b/caroblead/node/tail.py
@@ -24,7 +24,8 @@
 
     ``answered_s`` is when the last answer arrived, ``caught_up`` tells whether that read reached
     the end of the log, and ``current_s`` is when the last read that did so was sent. ``lost`` is
-    set while reads fail.
+    set while reads fail. While ``current_s`` is before ``needed_s``, reads don't wait for new
+    records.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.pause_s = pause_s
         self.offset: int | None = None
         self.current_s = 0.0
+        self.needed_s = 0.0
         self.answered_s = 0.0
         self.caught_up = False
         self.lost = False
@@ -73,7 +75,8 @@
             batch = await self.log.read_newest()
             complete = True
         else:
-            batch = await self.log.read(self.offset, self.wait_s)
+            wait_s = self.wait_s if self.current_s >= self.needed_s else 0.0
+            batch = await self.log.read(self.offset, wait_s)
             complete = False
         if self.lost:
             self.lost = False
--- a/caroblead/platform/registry.py
+++ b/caroblead/platform/registry.py
@@ -43,4 +43,11 @@
         labels=labels,
         capacity=capacity,
         draining=state == "draining",
+        cold_remaining_ms=_decode_cold_ms(raw.get("coldRemainingMs", 0)),
     )
+
+
+def _decode_cold_ms(value: object) -> int:
+    """Returns how long a VM is still slow; a malformed value counts as 0."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return max(0, int(value)) if is_number else 0
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -15,10 +15,11 @@
 from ..core.logsink import install_sink, log
 from ..core.outcome import describe_problem
 from ..node.configuration import ConfigurationView
+from ..node.evacuation import EvacuationView
 from ..node.program import Node, NodeAdapters
 from ..node.registry import Registry
 from ..node.setting import NodeSettings, load_node_settings, merge_settings
-from . import configuration, registry
+from . import configuration, evacuation, registry
 from .advisor import PlatformAdvisor
 from .frontend import Frontend
 from .http import HttpClient
@@ -61,7 +62,14 @@
     )
     configuration_view = ConfigurationView(configuration.KEY, configuration.decode_configuration)
     seed = zlib.crc32(settings.node.encode()) ^ os.getpid()
-    return Node(settings, adapters, configuration_view, Registry(registry.decode_vm), seed)
+    return Node(
+        settings,
+        adapters,
+        configuration_view,
+        Registry(registry.decode_vm),
+        seed,
+        EvacuationView(evacuation.decode_evacuated_zone),
+    )
 
 
 async def serve_metrics(node: Node) -> Listener:
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -12,10 +12,12 @@
 from ..jobs.data import AdviceTimes, JobQueue, JobSpec
 from ..jobs.record import KeyedRecord
 from ..node.configuration import ConfigurationView
+from ..node.evacuation import EvacuationView
 from ..node.program import Node, NodeAdapters
 from ..node.registry import Registry
 from ..node.requesthandler import Accepted, Admission, Cancelled, Rejected
 from ..node.setting import NodeSettings
+from ..platform.evacuation import KEY_PREFIX, decode_evacuated_zone
 from .keyedlog import CallerFaults, MemoryLog, MemoryTopic
 from .verdict import CallerRecords
 from .vmcontrol import SimulatedVmControl
@@ -55,7 +57,9 @@
 
     ``caller_records`` records what callers requested and which responses they got.
     ``faults_by_node`` holds the injected faults of each node, by its name. ``draining_s`` is the
-    loop time at which the registry first showed a VM as draining.
+    loop time at which the registry first showed a VM as draining. The VMs are spread over the
+    ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0. ``evacuated_s`` is the
+    loop time at which the operators last evacuated each zone.
     """
 
     vm_simulator: VmSimulator
@@ -69,14 +73,32 @@
     ids: itertools.count = field(default_factory=lambda: itertools.count(1))
     seeds: itertools.count = field(default_factory=lambda: itertools.count(1))
     cap: Resources = Resources()
+    zones: tuple[str, ...] = ("a",)
+    evacuation_ms: float = 0
+    evacuated_s: dict[str, float] = field(default_factory=dict)
 
 
 def make_listed_vm(
-    number: int, incarnation: int = 1, draining: bool = False, capacity: Resources = CAPACITY
+    number: int,
+    incarnation: int = 1,
+    draining: bool = False,
+    capacity: Resources = CAPACITY,
+    zone: str = "a",
+    cold_remaining_ms: int = 0,
 ) -> ListedVm:
     """Returns the registry entry of a test VM with 4 cores and 8 GiB of memory."""
-    name, address = f"vm-{number}", f"vm:{number}"
-    return ListedVm(name, incarnation, SERVICE, address, "a", "r1", ("r1",), capacity, draining)
+    return ListedVm(
+        f"vm-{number}",
+        incarnation,
+        SERVICE,
+        f"vm:{number}",
+        zone,
+        "r1",
+        ("r1",),
+        capacity,
+        draining,
+        cold_remaining_ms,
+    )
 
 
 def publish_config(site: Site, version: int):
@@ -84,13 +106,31 @@
     site.config.append([KeyedRecord("config", b"%d" % version)], None)
 
 
+def evacuate_zone(site: Site, zone: str):
+    """Writes the key by which the operators evacuate a zone."""
+    site.config.append([KeyedRecord(KEY_PREFIX + zone, b"{}")], None)
+    site.evacuated_s[zone] = asyncio.get_running_loop().time()
+
+
+def restore_zone(site: Site, zone: str):
+    """Removes the key by which the operators evacuate a zone."""
+    site.config.append([KeyedRecord(KEY_PREFIX + zone, b"")], None)
+
+
 def put_vm_entry(site: Site, listed: ListedVm):
     """Registers a VM; in tests its record holds only what changes while a site runs.
 
-    That is the incarnation, whether the VM is draining, its cores and its memory.
+    That is the incarnation, whether the VM is draining, its cores and its memory, and for how long
+    it is still cold. The zone is there too, because it differs between sites.
     """
-    millicores, memory_mb = listed.capacity.millicores, listed.capacity.memory_mb
-    value = b"%d %d %d %d" % (listed.incarnation, listed.draining, millicores, memory_mb)
+    numbers = (
+        listed.incarnation,
+        listed.draining,
+        listed.capacity.millicores,
+        listed.capacity.memory_mb,
+        listed.cold_remaining_ms,
+    )
+    value = b"%d %d %d %d %d" % numbers + b" " + listed.zone.encode()
     site.registry.append([KeyedRecord(listed.name, value)], None)
     if listed.draining:
         site.draining_s.setdefault(listed.name, asyncio.get_running_loop().time())
@@ -116,19 +156,31 @@
     call_later(down_s + REGISTER_DELAY_S, put_vm_entry, site, listed)
 
 
-async def start_site(vm_count: int = 4, node_count: int = 3, cap: Resources | None = None) -> Site:
-    """Starts nodes, VMs and a store and waits until a leader is elected."""
+async def start_site(
+    vm_count: int = 4,
+    node_count: int = 3,
+    cap: Resources | None = None,
+    zones: tuple[str, ...] = ("a",),
+    evacuation_ms: float = 0,
+) -> Site:
+    """Starts nodes, VMs and a store and waits until a leader is elected.
+
+    The zones are given to the VMs in turn.
+    """
     caller_records = CallerRecords()
     site = Site(
         VmSimulator(make_behavior_lookup(caller_records.jobs)),
         caller_records=caller_records,
         cap=cap or Resources(),
+        zones=zones,
+        evacuation_ms=evacuation_ms,
     )
     site.vm_simulator.on_crashed = partial(show_crash_in_registry, site)
     publish_config(site, 1)
     for number in range(vm_count):
-        site.vm_simulator.add(make_listed_vm(number))
-        put_vm_entry(site, make_listed_vm(number))
+        listed = make_listed_vm(number, zone=zones[number % len(zones)])
+        site.vm_simulator.add(listed)
+        put_vm_entry(site, listed)
     for number in range(node_count):
         await start_node(site, f"n{number}")
     await wait_for_leader(site)
@@ -147,6 +199,7 @@
         peer_port=0,
         store="127.0.0.1:1",
         core_share=strength,
+        evacuation_ms=site.evacuation_ms,
     )
     adapters = NodeAdapters(
         MemoryLog(site.ledger, caller_faults),
@@ -161,12 +214,17 @@
         return Configuration(int(value), dict(QUEUES), teams, {KEY: "north"})
 
     def decode_vm(name: str, value: bytes) -> ListedVm:
-        incarnation, draining, millicores, memory_mb = map(int, value.split())
+        *numbers, zone = value.decode().split()
+        incarnation, draining, millicores, memory_mb, cold_remaining_ms = map(int, numbers)
         number, capacity = int(name.split("-")[1]), Resources(millicores, memory_mb)
-        return make_listed_vm(number, incarnation, bool(draining), capacity)
+        return make_listed_vm(
+            number, incarnation, bool(draining), capacity, zone, cold_remaining_ms
+        )
 
     configuration_view = ConfigurationView("config", decode_config)
-    node = Node(settings, adapters, configuration_view, Registry(decode_vm), next(site.seeds))
+    evacuation_view = EvacuationView(decode_evacuated_zone)
+    seed = next(site.seeds)
+    node = Node(settings, adapters, configuration_view, Registry(decode_vm), seed, evacuation_view)
     site.nodes[name] = node
     await node.start()
 
