--- a/caroblead/dispatch/evacuation.py
+++ b/caroblead/dispatch/evacuation.py
@@ -130,11 +130,11 @@
 
 
 @dataclass(slots=True)
-class Group:
-    """The VMs of a service with a label, by whether their zone is evacuated."""
+class Vms:
+    """The capacity of each VM of a group by its name, and how many VMs have the same one."""
 
-    inside: list[VmRow] = field(default_factory=list)
-    outside: list[VmRow] = field(default_factory=list)
+    capacities: dict[str, Resources] = field(default_factory=dict)
+    counts: Counter[Resources] = field(default_factory=Counter)
 
 
 def find_waiting_steps(
@@ -147,7 +147,7 @@
     """
     if not list_evacuated_rows(fleet):
         return {}
-    groups: dict[tuple[str, str], Group] = {}
+    groups: dict[tuple[str, str], dict[str, Vms]] = {}
     found = {}
     for step in steps:
         service = find_service(configuration, step.work.job.queue)
@@ -160,39 +160,38 @@
     return found
 
 
-def _group_vms(fleet: Fleet, service: str, label: str) -> Group:
-    group = Group()
+def _group_vms(fleet: Fleet, service: str, label: str) -> dict[str, Vms]:
+    """Returns the VMs of a service with a label by evacuated zone; all others are under ``""``."""
+    group: defaultdict[str, Vms] = defaultdict(Vms)
     for row in fleet.rows.values():
         listed = row.listed
         if listed.service != service or not row.in_registry or listed.draining:
             continue
         if label and label not in listed.labels:
             continue
-        is_inside = listed.zone in fleet.evacuated_zones
-        (group.inside if is_inside else group.outside).append(row)
+        vms = group[listed.zone if listed.zone in fleet.evacuated_zones else ""]
+        vms.capacities[row.name] = listed.capacity
+        vms.counts[listed.capacity] += 1
     return group
 
 
-def _find_zones_to_wait_for(step: StepWork, group: Group) -> list[str]:
+def _find_zones_to_wait_for(step: StepWork, group: dict[str, Vms]) -> list[str]:
     required = len(step.waiting) if step.spec.gang else 1
-    outside = _count_places(step, group.outside, required)
+    outside = _count_places(step, group.get("", Vms()), required)
     if outside >= required:
         return []
-    places: defaultdict[str, int] = defaultdict(int)
-    for row in group.inside:
-        places[row.listed.zone] += _count_places(step, [row], required)
+    places = {zone: _count_places(step, vms, required) for zone, vms in group.items() if zone}
     if outside + sum(places.values()) < required:
         return []
     return sorted(zone for zone, count in places.items() if count)
 
 
-def _count_places(step: StepWork, rows: list[VmRow], enough: int) -> int:
+def _count_places(step: StepWork, vms: Vms, enough: int) -> int:
     """Returns how many tasks of a step the VMs could hold if they were empty, or ``enough``."""
     need, limit = get_booked_need(step.spec), step.spec.max_per_vm or enough
-    excluded = step.advice.asked - step.advice.allowed
-    kinds: Counter[Resources] = Counter()
-    for row in rows:
-        if row.name not in excluded:
-            kinds[row.listed.capacity] += 1
-    places = sum(min(limit, count_fit(need, capacity)) * count for capacity, count in kinds.items())
+    excluded = (step.advice.asked - step.advice.allowed) & vms.capacities.keys()
+    counts = vms.counts - Counter(vms.capacities[name] for name in excluded)
+    places = sum(
+        min(limit, count_fit(need, capacity)) * count for capacity, count in counts.items()
+    )
     return min(places, enough)
