Size advice requests by what their steps need (sized_advice)

Each request named up to 100 VMs, and the service takes 10 ms for each of them for proctor reviews, so a call took 1.7 s although the step needs seven VMs. With the switch on, a request names as many VMs as contain enough allowed ones with a confidence of two standard deviations, by the share of VMs that the service has allowed for the queue so far (0.25 until known). Nothing is requested for steps above their team's quota, and steps that are of no use any more ask one at a time while no request waits.

--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -7,6 +7,7 @@
 from ..core.timer import TimerService
 from ..jobs.ledger import Ledger
 from .advicequeue import AdviceQueue
+from .advicesize import AdviceShares
 from .commit import CommitQueue
 from .crash import CrashTable
 from .features import Features
@@ -56,6 +57,7 @@
     health: HealthTable = field(default_factory=HealthTable)
     crash_table: CrashTable = field(default_factory=CrashTable)
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
+    advice_shares: AdviceShares = field(default_factory=AdviceShares)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
     resigning: bool = False
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -5,15 +5,22 @@
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log, log_routine
-from ..core.resource import Resources, fits
+from ..core.resource import NOTHING, Resources, fits
 from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
+from .advicesize import (
+    choose_vms_for_step,
+    count_new_answers,
+    get_allowed_share,
+    learn_allowed_share,
+    select_requests,
+)
 from .crash import judge_isolation
 from .fleet import Fleet, Run, book_run
 from .health import is_slow
 from .interface import find_service
-from .planning import Placement, plan_starts
-from .rank import rank_step
+from .planning import Placement, count_allowance, plan_starts
+from .rank import find_tier, rank_step
 from .term import TermState, is_registry_current
 from .work import (
     StepAdvice,
@@ -70,12 +77,22 @@
     for run in plan.evictions:
         log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
         state.order_sender.stop(run)
-    for step in plan.advice_needed:
+    for step in _select_requests(state, steps, plan.advice_needed, wall_s):
         step.advice.pending = True
         service = find_service(configuration, step.work.job.queue)
         state.order_sender.spawn(await_and_log_errors(_ask_advice(state, step, service)))
 
 
+def _select_requests(
+    state: TermState, steps: list[StepWork], needed: list[StepWork], wall_s: float
+) -> list[StepWork]:
+    if not state.dependencies.features.sized_advice or not needed:
+        return needed
+    pending = [step for step in steps if step.advice.pending]
+    tiers = {step.key: find_tier(step, wall_s) for step in (*needed, *pending)}
+    return select_requests(needed, pending, tiers, not state.dependencies.advice_queue.waiting)
+
+
 def _start_placements(state: TermState, placements: list[Placement], now_s: float):
     starts: list[tuple[StepWork, list[Run]]] = []
     gangs: dict[StepKey, list[Run]] = {}
@@ -183,10 +200,44 @@
         state.wake.set()
 
 
+def _choose_sized(state: TermState, step: StepWork, service: str) -> list[str]:
+    """Returns the VMs to ask about, or none while the team may not start the step's tasks."""
+    job = step.work.job
+    team = state.dependencies.get_configuration().teams.get(job.team)
+    used = state.fleet.used.get(job.team, NOTHING)
+    tasks = min(len(step.waiting), count_allowance(team, used, step.spec.need))
+    if step.spec.gang and tasks < step.spec.count:
+        return []
+    rows = [
+        row
+        for row in state.fleet.rows.values()
+        if row.listed.service == service and row.in_registry
+    ]
+    share = get_allowed_share(state.advice_shares, job.queue.name)
+    options = choose_vms_for_step(step, tasks, rows, state.fleet, share, get_elapsed_s())
+    return [option.name for option in options[:MAX_VMS_PER_REQUEST]]
+
+
+def _learn_share(state: TermState, step: StepWork, names: list[str], tickets: dict[str, str]):
+    """Learns the allowed share of a queue from an answer that isn't stored yet."""
+    if not state.dependencies.features.sized_advice:
+        return
+    queue = step.work.job.queue.name
+    new, allowed = count_new_answers(step.advice, names, tickets)
+    learn_allowed_share(state.advice_shares, queue, new, allowed)
+    share = get_allowed_share(state.advice_shares, queue)
+    log_routine("advice:share", queue=queue, new=new, allowed=allowed, share=round(share, 3))
+
+
 async def _request_advice(state: TermState, step: StepWork, service: str):
     queue = step.work.job.queue
     advice = step.advice
-    names = choose_vms_to_ask(state.fleet, service, advice, get_booked_need(step.spec))
+    if state.dependencies.features.sized_advice:
+        names = _choose_sized(state, step, service)
+        if not names:
+            return
+    else:
+        names = choose_vms_to_ask(state.fleet, service, advice, get_booked_need(step.spec))
     terms = queue.advice
     expected_s = terms.decision_s + terms.per_vm_s * len(names)
     started_s = get_elapsed_s()
@@ -200,6 +251,7 @@
         advice.retry_s = get_elapsed_s() + ADVICE_RETRY_S
         log("advice:failed", step=str(step.key), vms=len(names))
     else:
+        _learn_share(state, step, names, answer.tickets)
         store_answer(advice, names, answer.tickets)
         log_routine(
             "advice:got",
