--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -7,6 +7,7 @@
 from ..core.timer import TimerService
 from ..jobs.ledger import Ledger
 from .advicequeue import AdviceQueue
+from .advicesize import AdviceShares
 from .commit import CommitQueue
 from .crash import CrashTable
 from .evacuation import EvacuationState, ZoneReading
@@ -59,6 +60,7 @@
     crash_table: CrashTable = field(default_factory=CrashTable)
     evacuation: EvacuationState = field(default_factory=EvacuationState)
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
+    advice_shares: AdviceShares = field(default_factory=AdviceShares)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
     resigning: bool = False
