--- a/caroblead/dispatch/advicesize.py
+++ b/caroblead/dispatch/advicesize.py
@@ -156,17 +156,22 @@
 
 
 def select_requests(
-    needed: list[StepWork], pending: list[StepWork], tiers: dict, queue_is_idle: bool
+    needed: list[StepWork],
+    pending: list[StepWork],
+    tiers: dict,
+    queue_is_idle: bool,
+    max_useless: int,
 ) -> list[StepWork]:
     """Returns the steps for which to send a request now, given the ``tiers`` by step key.
 
-    Steps that are too late to be of use are served one at a time and only while no other request
-    waits, because their answers take calls from work that can still be served. They aren't left
-    out, since every accepted job is finished in the end.
+    Steps that are too late to be of use have ``max_useless`` open requests at most, and get new
+    ones only while no other request waits, because their answers take calls from work that can
+    still be served. They aren't left out, since every accepted job is finished in the end: served
+    one at a time, a backlog of them would wait for many seconds beside idle VMs.
     """
     useful = [step for step in needed if tiers[step.key] is not Tier.USELESS]
     useless = [step for step in needed if tiers[step.key] is Tier.USELESS]
-    is_open = any(tiers.get(step.key) is Tier.USELESS for step in pending)
-    if useful or is_open or not queue_is_idle:
+    if useful or not queue_is_idle:
         return useful
-    return useless[:1]
+    open_count = sum(1 for step in pending if tiers.get(step.key) is Tier.USELESS)
+    return useless[: max(0, max_useless - open_count)]
--- a/caroblead/dispatch/advicesize_test.py
+++ b/caroblead/dispatch/advicesize_test.py
@@ -178,7 +178,10 @@
     for number, step in enumerate((useful, first, second)):
         step.key = step.key._replace(job=f"j{number}")
     tiers = {useful.key: Tier.LATE, first.key: Tier.USELESS, second.key: Tier.USELESS}
-    assert select_requests([first, useful], [], tiers, True) == [useful]
-    assert select_requests([first, second], [], tiers, True) == [first]
-    assert select_requests([second], [first], tiers, True) == []
-    assert select_requests([first], [], tiers, False) == []
+    assert select_requests([first, useful], [], tiers, True, 1) == [useful]
+    assert select_requests([first, second], [], tiers, True, 1) == [first]
+    assert select_requests([second], [first], tiers, True, 1) == []
+    assert select_requests([first], [], tiers, False, 1) == []
+    # Guards against a backlog of useless steps that are asked about one after the other.
+    assert select_requests([first, second], [], tiers, True, 2) == [first, second]
+    assert select_requests([second], [first], tiers, True, 2) == [second]
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -47,6 +47,8 @@
 MAX_RECORD_DELAY_S = 0.4
 # The delay before a failed request to the advice service is retried.
 ADVICE_RETRY_S = 0.1
+# One node in so many may ask about steps that are too late to be of use.
+NODES_PER_USELESS_REQUEST = 3
 # The advice service accepts at most this many VMs in one request.
 MAX_VMS_PER_REQUEST = 100
 
@@ -102,7 +104,9 @@
         return needed
     pending = [step for step in steps if step.advice.pending]
     tiers = {step.key: find_tier(step, wall_s) for step in (*needed, *pending)}
-    return select_requests(needed, pending, tiers, not state.dependencies.advice_queue.waiting)
+    queue = state.dependencies.advice_queue
+    max_useless = max(1, len(queue.advisers) // NODES_PER_USELESS_REQUEST)
+    return select_requests(needed, pending, tiers, not queue.waiting, max_useless)
 
 
 def _start_placements(state: TermState, placements: list[Placement], now_s: float):
