Keep what is learned of durations and speeds in the log, behind learned_durations

The next leader reads them; a record that is malformed or of another version is logged and left out. Health compares a run with the learned expectation. Without the setting nothing is learned, written or compared differently, and an error in the learning is logged and changes no decision. Innovations are clipped at 2 deviations instead of 3, which lowers the false changes of speed on the generated orders load from 35 to 5 in 60 s.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -10,6 +10,7 @@
 from ..core.resource import NOTHING, Resources, add, fits, subtract
 from ..jobs.data import StepKey
 from .interface import ListedVm, Target, TaskName
+from .speed import SpeedTable
 
 # The fraction by which the clock of a VM may be slow.
 CLOCK_DRIFT = 0.02
@@ -65,8 +66,10 @@
     work, and one that ``has_checkpoints`` then resumes from the last one. A run that
     ``expects_progress`` counts as stalled when it shows none: its progress became ``percent``
     at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
-    off. A run of a former term has no ``started_s``. ``need`` is what it books on its VM, and
-    ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
+    off. A run of a former term has no ``started_s``, and ``began_s`` is when the VM confirmed the
+    start in this one. ``resumed`` tells whether it began from a checkpoint. ``expected_s`` is its
+    expected work as learned, 0 if only the estimate is known. ``need`` is what it books on its VM,
+    and ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
     other runs of a VM leave free, works at ``pace`` percent of its speed; the pace of a run of a
@@ -88,6 +91,9 @@
     ticket_until_s: float = float("inf")
     order_answered_s: float = 0.0
     started_s: float = 0.0
+    began_s: float = 0.0
+    resumed: bool = False
+    expected_s: float = 0.0
     percent: float = 0.0
     progressed_s: float = 0.0
     stalled_polls: int = 0
@@ -124,7 +130,7 @@
     ``failed_jobs`` are the jobs whose runs failed since the last success. ``apart_runs`` and
     ``alone_runs`` count the runs of either level of isolation. ``late_orders`` are the start orders
     that got no answer and were settled by a stop, with the time until which they may be carried
-    out if the VM restarts and forgets the stop.
+    out if the VM restarts and forgets the stop. ``speed`` is as learned, 1.0 if nothing is known.
     """
 
     name: str
@@ -147,6 +153,7 @@
     failed_jobs: set[str] = field(default_factory=set)
     apart_runs: int = 0
     alone_runs: int = 0
+    speed: float = 1.0
     late_orders: dict[tuple[TaskName, int], float] = field(default_factory=dict)
 
     def make_target(self) -> Target:
@@ -165,13 +172,17 @@
 
 @dataclass(slots=True, eq=False)
 class Fleet:
-    """All VMs, the resources that each team uses, the reservations, and when this term began."""
+    """All VMs, the resources that each team uses, the reservations, and when this term began.
+
+    ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not learned.
+    """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
     used: dict[str, Resources] = field(default_factory=dict)
     term_began_s: float = 0.0
     lease_s: float = 8.0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
+    speeds: SpeedTable | None = None
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
@@ -323,3 +334,4 @@
     row.reset_s = now_s
     row.fill_pace, row.calm_polls = FULL_PACE, 0
     row.failed_jobs.clear()
+    row.speed = 1.0
--- a/caroblead/dispatch/health.py
+++ b/caroblead/dispatch/health.py
@@ -30,7 +30,10 @@
 
 @dataclass(slots=True)
 class VmSpeed:
-    """How slow a VM is: the moving average of run duration divided by estimate."""
+    """How slow a VM is: the moving average of run duration divided by what was expected.
+
+    That is the learned expectation, or the caller's estimate if durations are not learned.
+    """
 
     slowness: float = 0.0
     samples: int = 0
@@ -60,10 +63,13 @@
 
 
 def _record_duration(table: HealthTable, row: VmRow, run: Run, now_s: float):
-    if run.estimate_s <= 0 or run.checkpoint or not run.started_s:
+    expected_s = run.expected_s or run.estimate_s
+    # Without learned durations, a run that has saved a checkpoint counts as resumed from one.
+    resumed = run.resumed if run.expected_s else bool(run.checkpoint)
+    if expected_s <= 0 or resumed or not run.started_s:
         return
     speed = table.speeds.setdefault(row.name, VmSpeed())
-    ratio = (now_s - run.started_s) / run.estimate_s
+    ratio = (now_s - run.started_s) / expected_s
     weight = SLOWNESS_WEIGHT if speed.samples else 1.0
     speed.slowness += weight * (ratio - speed.slowness)
     speed.samples += 1
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -29,6 +29,7 @@
 )
 from .health import STALL_AVOID_S, mark_slow, record_end
 from .interface import EndedTask, EndReason, StartRefusal
+from .learning import Learning
 from .orders import OrderSender
 from .rank import take_share_token
 from .retention import DROP_INTERVAL_S, drop_old_jobs
@@ -58,6 +59,7 @@
         self.commit = CommitQueue(dependencies.log, term, term_confirmed_s, self.lose_term)
         self.order_sender = OrderSender(self.fleet, dependencies.vms, term, self)
         self.state = TermState(dependencies, term, self.fleet, self.commit, self.order_sender)
+        self.learning = Learning(self.state)
         self.unserved_jobs: set[str] = set()
         self.tasks: list[asyncio.Task] = []
         self.timers: list[Timer] = []
@@ -65,9 +67,10 @@
     def start(self):
         """Takes over the open jobs and starts the activities of the term."""
         self._refresh_vms()
+        self.timers = self.learning.start()
         self._take_over_jobs()
         subscribe = self.dependencies.timers.subscribe
-        self.timers = [
+        self.timers += [
             subscribe(SWEEP_INTERVAL_S, self._sweep),
             subscribe(DROP_INTERVAL_S, self._drop_old_jobs),
         ]
@@ -155,6 +158,7 @@
         team = self.dependencies.get_configuration().teams.get(job.team)
         work.surplus = take_share_token(self.state.buckets, team, job)
         self.state.open_jobs[job.id] = work
+        self.learning.set_expectations(work)
         return work
 
     def _inherit_run(self, step: StepWork, record: RunRecord):
@@ -304,6 +308,7 @@
         )
         if record_end(self.state.health, row, run, ended.reason, get_elapsed_s()):
             log("vm:avoided", vm=row.name, failed_jobs=len(row.failed_jobs))
+        self.learning.record_end(row, run, ended.reason)
         if run.wanted:
             self._settle(run, ended.reason, ended.checkpoint)
         self.state.wake.set()
@@ -315,6 +320,7 @@
         if run.unanswered:
             note_late_order(run, get_elapsed_s())
         log("task:gone", task=str(run.task), run=run.number, vm=run.vm.name, detail=detail)
+        self.learning.record_gone(run)
         if run.wanted:
             self._settle(run, EndReason.LAPSED, "")
         self.state.wake.set()
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -66,6 +66,7 @@
             self.reports.on_refused(run, StartRefusal.NO_TICKET)
             return
         run.phase = RunPhase.ORDERED
+        run.resumed = bool(run.checkpoint)
         order = StartOrder(
             run.task,
             run.number,
@@ -87,6 +88,7 @@
         name = str(run.task)
         if isinstance(outcome, Started):
             run.phase = RunPhase.RUNNING
+            run.began_s = run.order_answered_s
             log_routine("task:started", task=name, run=run.number, vm=row.name)
             if not run.wanted:
                 self.stop(run)
--- a/caroblead/dispatch/speed.py
+++ b/caroblead/dispatch/speed.py
@@ -18,12 +18,18 @@
 # An estimate without new samples returns to the prior with this half-life, so that a VM that was
 # slow is tried again.
 RETURN_HALF_LIFE_S = 180.0
+# A VM slower than this has a passing trouble: the slowest VMs of the customers have 0.6. It returns
+# sooner, since it gets little work by which its recovery could show.
+TROUBLED_LOG_SPEED = math.log(0.45)
+TROUBLED_HALF_LIFE_S = 8.0
 # An innovation is clipped at so many of its standard deviations: three runs in a hundred take
 # seven times as long as the others on any VM.
-MAX_DEVIATIONS = 3.0
-# Two-sided cumulative sum of the normalized innovations: allowance for each sample and limit.
+MAX_DEVIATIONS = 2.0
+# Two-sided cumulative sum of the normalized innovations: allowance for each sample and limit. With
+# innovations clipped at 3.0 and a limit of 4.0, runs that take seven times as long gave 35 false
+# changes in 60 s on 176 VMs, and these values 5.
 CHANGE_ALLOWANCE = 0.75
-CHANGE_LIMIT = 4.0
+CHANGE_LIMIT = 3.5
 # Runs of one step have durations that are correlated, so a repeated sample of a step counts less.
 REPEATED_STEP_FACTOR = 4.0
 MIN_NOISE = 0.1
@@ -286,7 +292,8 @@
     estimate.updated_s = now_s
     if elapsed_s <= 0:
         return
-    kept = 0.5 ** (elapsed_s / RETURN_HALF_LIFE_S)
+    troubled = estimate.log_speed < TROUBLED_LOG_SPEED
+    kept = 0.5 ** (elapsed_s / (TROUBLED_HALF_LIFE_S if troubled else RETURN_HALF_LIFE_S))
     estimate.log_speed *= kept
     estimate.variance = PRIOR_VARIANCE - (PRIOR_VARIANCE - estimate.variance) * kept * kept
 
--- a/caroblead/dispatch/speed_test.py
+++ b/caroblead/dispatch/speed_test.py
@@ -49,13 +49,14 @@
     assert get_estimate(table, "vm", 1).get_deviation() < 0.15
 
 
-def test_slowdown_by_four_and_recovery_are_followed_within_a_few_ends():
+@pytest.mark.parametrize("seed", range(10))
+def test_slowdown_by_four_and_recovery_are_followed_within_a_few_ends(seed):
     """Guards against an average that takes many runs to follow a VM that became slow."""
-    table, generator = SpeedTable(), random.Random(SEED)
+    table, generator = SpeedTable(), random.Random(seed)
     feed_ends(table, "vm", 1.0, 60, generator)
-    assert feed_ends(table, "vm", 0.25, 8, generator, 100) <= 5
+    assert feed_ends(table, "vm", 0.25, 8, generator, 60) <= 5
     assert get_speed(table, "vm") < 0.45
-    assert feed_ends(table, "vm", 1.0, 8, generator, 200) <= 5
+    assert feed_ends(table, "vm", 1.0, 8, generator, 68) <= 5
     assert get_speed(table, "vm") > 0.65
 
 
@@ -130,6 +131,16 @@
     assert get_speed(table, "vm") == pytest.approx(1.0, abs=0.01)
 
 
+def test_slow_vm_without_work_is_soon_tried_again():
+    """Guards against a recovery that never shows because the VM gets no work."""
+    table = SpeedTable()
+    feed_ends(table, "vm", 0.25, 40, random.Random(SEED))
+    assert get_speed(table, "vm") < 0.4
+    for second in range(20):
+        center_speeds(table, ["vm"], 10.0 + second)
+    assert get_speed(table, "vm") > 0.42
+
+
 def test_gang_slows_only_its_slowest_vm():
     """Guards against blaming fast VMs for the pace of a slow member of their gang."""
     table = SpeedTable()
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -44,7 +44,7 @@
     """The tables and services of a term; ``lost`` is set once another term may have begun.
 
     Nothing new is decided once the leader is ``resigning``, because the term would end before the
-    orders could be sent.
+    orders could be sent. ``on_steps_opened`` is called with a job of which steps have become due.
     """
 
     dependencies: LeaderDependencies
@@ -59,6 +59,7 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
     resigning: bool = False
+    on_steps_opened: Callable[[JobWork], None] = lambda work: None
 
 
 def is_registry_current(dependencies: LeaderDependencies) -> bool:
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -56,7 +56,8 @@
     steps = []
     for work in state.open_jobs.values():
         if work.occurrences < max(1, work.job.spec.repeats):
-            open_due_occurrences(work, wall_s)
+            if open_due_occurrences(work, wall_s):
+                state.on_steps_opened(work)
         if now_s >= work.ready_s:
             steps += [step for step in work.steps.values() if is_step_ready(step)]
     if not steps or state.commit.get_delay_s() > MAX_RECORD_DELAY_S:
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -4,7 +4,7 @@
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
-from ..core.timer import await_and_log_errors
+from ..core.timer import await_and_log_errors, call_and_log_errors
 from .fleet import (
     Fleet,
     Run,
@@ -19,6 +19,7 @@
 from .orders import OrderSender
 from .pacing import list_runs_to_pace, update_pace
 from .report import Reports
+from .speedwatch import watch_progress
 
 # A renewal is a long poll: it returns at the end of a run, or after this long without one.
 POLL_WAIT_S = 0.7
@@ -112,6 +113,7 @@
             seen = max(seen, ended.serial)
             self.reports.on_end(row, ended)
         self._reconcile(answer, sent_s)
+        call_and_log_errors(watch_progress, self.fleet, row, answer, get_elapsed_s())
         self._set_pace(answer)
         if first:
             self.reports.on_free_room()
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -166,6 +166,7 @@
     run.priority = step.work.job.queue.priority
     run.has_checkpoints = spec.checkpoints
     run.estimate_s = spec.estimate_s
+    run.expected_s = step.expectation.median_s if step.expectation else 0.0
     run.expects_progress = not (spec.endless or spec.fills)
     run.endless = spec.endless
     run.target_ms, run.fills = spec.target_ms, spec.fills
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -19,6 +19,9 @@
     read_state,
 )
 
+# Records of what former leaders learned are kept up to so many and this size.
+MAX_LEARNED_RECORDS = 8
+MAX_LEARNED_BYTES = 65_536
 # What decoding a malformed record raises.
 MALFORMED = (ValueError, LookupError, TypeError, AttributeError)
 
@@ -59,7 +62,8 @@
 class Ledger:
     """The jobs, the leader's term and the nodes, as far as the log has been read.
 
-    ``ended`` holds the final state of jobs whose specification has been dropped.
+    ``ended`` holds the final state of jobs whose specification has been dropped. ``learned`` holds
+    what leaders learned of durations and speeds, as read, for the next leader to decode.
     """
 
     jobs: dict[str, StoredJob] = field(default_factory=dict)
@@ -69,6 +73,7 @@
     pending_progress: dict[str, bytes] = field(default_factory=dict)
     term: Term | None = None
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    learned: dict[str, bytes] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -147,9 +152,19 @@
             ledger.nodes[record.name] = decode_node(record.value)
         else:
             ledger.nodes.pop(record.name, None)
+    if record.kind == RecordKind.LEARNED:
+        _apply_learned(ledger, record)
     return None
 
 
+def _apply_learned(ledger: Ledger, record: KeyedRecord):
+    ledger.learned.pop(record.name, None)
+    if len(record.value) > MAX_LEARNED_BYTES or len(ledger.learned) >= MAX_LEARNED_RECORDS:
+        raise ValueError(f"learned record of {len(record.value)} bytes is one too many or too long")
+    if record.value:
+        ledger.learned[record.name] = record.value
+
+
 def _apply_resignation(ledger: Ledger, record: KeyedRecord) -> Change | None:
     term, _, successor = record.value.decode().partition(" ")
     if ledger.term is None or term != str(ledger.term.number):
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -37,6 +37,7 @@
     TERM = "t"
     HEARTBEAT = "b"
     NODE = "n"
+    LEARNED = "d"
 
 
 @dataclass(slots=True, frozen=True)
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -358,6 +358,7 @@
             gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
             gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
             gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
+            gauges.update(leader.learning.list_gauges())
         return write_node_metrics(self.metrics, gauges)
 
 
