Test slow and recovering VMs in the stand-in, and health by what is learned

The simulated VMs get a speed that changes under active runs. A VM that becomes four times slower in the middle of runs of 12 s is known within 5 s from their progress, before they end, and so is its recovery; with runs of 1.5 s it is known from their ends. The members of a stopped gang are learned from once, and a run whose start got no answer is left out.

--- a/caroblead/dispatch/health_test.py
+++ b/caroblead/dispatch/health_test.py
@@ -50,6 +50,32 @@
     assert mark_slow(table, 5002.0) == []
 
 
+def test_run_is_compared_with_what_is_learned_and_not_with_its_estimate():
+    """Guards against a VM that counts as slow because it got the jobs with the worst estimates."""
+    table = HealthTable()
+    for name, estimate_s, took_s in (
+        ("a", 2.0, 2.0),
+        ("b", 2.0, 2.1),
+        ("c", 0.5, 2.0),
+        ("d", 2.0, 8.0),
+    ):
+        row = make_row(name)
+        for _ in range(4):
+            run = make_run(row, started_s=1.0)
+            run.estimate_s, run.expected_s = estimate_s, 2.0
+            record_end(table, row, run, EndReason.DONE, 1.0 + took_s)
+    assert mark_slow(table, 10.0) == ["d"]
+
+
+def test_run_that_saved_a_checkpoint_counts_if_it_was_not_resumed_from_one():
+    for resumed, samples in ((False, 1), (True, 0)):
+        table, row = HealthTable(), make_row()
+        run = make_run(row)
+        run.expected_s, run.checkpoint, run.resumed = 2.0, "saved", resumed
+        record_end(table, row, run, EndReason.DONE, 2.0)
+        assert sum(speed.samples for speed in table.speeds.values()) == samples
+
+
 def test_run_without_progress_over_several_polls_is_stalled():
     row = make_row()
     run = make_run(row)
--- a/caroblead/dispatch/learning.py
+++ b/caroblead/dispatch/learning.py
@@ -133,8 +133,11 @@
         began_s = run.began_s or run.started_s
         if step is None or not began_s or run.resumed or run.endless or run.fills:
             return
-        if not exact and not step.waiting and step.spec.gang:
-            # The other members of a stopped gang tell the same again.
+        if not exact and step.waiting and step.spec.gang:
+            # The first member of a stopped gang has told the same.
+            return
+        if run.unanswered and not run.began_s:
+            # The order may have reached the VM late.
             return
         observed = ObservedRun(
             make_features(step),
--- a/caroblead/dispatch/learning_test.py
+++ b/caroblead/dispatch/learning_test.py
@@ -208,6 +208,47 @@
     run_scenario(scenario)
 
 
+def test_vm_that_becomes_slow_in_the_middle_of_its_runs_and_recovers_is_followed():
+    """Guards against knowing of a slow VM only after its runs, four times as long, have ended."""
+
+    async def scenario():
+        site = await start_site(vm_count=3, settings=LEARNED)
+        for _ in range(3):
+            await submit_jobs(site, 4, seconds=12.0, gap_s=0.1)
+        await asyncio.sleep(4.0)
+        leader = site.nodes[find_leader(site)].leader
+        name = max(leader.fleet.rows, key=lambda name: len(leader.fleet.rows[name].runs))
+        row = leader.fleet.rows[name]
+        assert len(row.runs) >= 2
+        running = set(row.runs)
+        site.vm_simulator.set_speed(name, 0.25)
+        await asyncio.sleep(5.0)
+        assert running & set(row.runs), "the runs have ended before the VM was known to be slow"
+        assert row.speed < 0.5
+        others = [other.speed for other in leader.fleet.rows.values() if other is not row]
+        assert all(speed > 0.7 for speed in others)
+        site.vm_simulator.set_speed(name, 1.0)
+        await asyncio.sleep(5.0)
+        assert row.speed > 0.7
+        return site
+
+    run_scenario(scenario)
+
+
+def test_slow_vm_is_known_from_the_ends_of_its_runs():
+    async def scenario():
+        site = await start_site(settings=LEARNED)
+        await submit_jobs(site, 10, gap_s=0.2)
+        site.vm_simulator.set_speed("vm-0", 0.25)
+        await submit_jobs(site, 25, gap_s=0.2)
+        leader = site.nodes[find_leader(site)].leader
+        assert leader.fleet.rows["vm-0"].speed < 0.5
+        assert get_expected_s(site) == pytest.approx(WORK_S, rel=0.3)
+        return site
+
+    run_scenario(scenario)
+
+
 def test_restarted_vm_counts_as_normal_again():
     async def scenario():
         site = await start_site(settings=LEARNED)
--- a/caroblead/standin/vmsimulator.py
+++ b/caroblead/standin/vmsimulator.py
@@ -83,7 +83,10 @@
 
 @dataclass(slots=True, eq=False)
 class ActiveRun:
-    """A run in progress; ``percent`` is its pace in percent of its full pace."""
+    """A run in progress; ``percent`` is its pace in percent of its full pace.
+
+    It had done ``worked_s`` of its work when the speed of its VM last changed, at ``since_s``.
+    """
 
     number: int
     behavior: TaskBehavior
@@ -91,6 +94,8 @@
     timer: asyncio.TimerHandle
     stopping: bool = False
     percent: int = 100
+    worked_s: float = 0.0
+    since_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -115,6 +120,7 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     began_s: float = 0.0
     lease_expired_s: float = 0.0
+    speed: float = 1.0
     ended_s: dict[int, float] = field(default_factory=dict)
 
 
@@ -208,16 +214,38 @@
 
     def _begin_run(self, vm: SimulatedVm, order: StartOrder, late_s: float):
         behavior = self.get_task_behavior(order.task, order.number)
+        now_s = self.loop.time()
         if behavior.crashes_after_s is None:
-            reason = EndReason.FAILED if behavior.fails else EndReason.DONE
-            timer = self.loop.call_later(behavior.seconds, self._end_run, vm, order.task, reason)
+            timer = self._schedule_end(vm, order.task, behavior, behavior.seconds)
         else:
             timer = self.loop.call_later(behavior.crashes_after_s, self._crash_under, vm, behavior)
-        vm.active_runs[order.task] = ActiveRun(order.number, behavior, self.loop.time(), timer)
+        run = ActiveRun(order.number, behavior, now_s, timer, since_s=now_s)
+        vm.active_runs[order.task] = run
         self._record_event("start", order.task, order.number, vm, behavior, late_s)
         if behavior.crashes_after_s == 0:
             self._crash_under(vm, behavior)
 
+    def _schedule_end(
+        self, vm: SimulatedVm, task: TaskName, behavior: TaskBehavior, work_s: float
+    ) -> asyncio.TimerHandle:
+        reason = EndReason.FAILED if behavior.fails else EndReason.DONE
+        return self.loop.call_later(work_s / vm.speed, self._end_run, vm, task, reason)
+
+    def set_speed(self, name: str, speed: float):
+        """Changes the speed of a VM, also for the runs that are active there."""
+        vm, now_s = self.vms[name], self.loop.time()
+        for run in vm.active_runs.values():
+            run.worked_s, run.since_s = self._measure_work(vm, run), now_s
+        vm.speed = speed
+        for task, run in vm.active_runs.items():
+            if run.behavior.crashes_after_s is None:
+                run.timer.cancel()
+                left_s = max(0.0, run.behavior.seconds - run.worked_s)
+                run.timer = self._schedule_end(vm, task, run.behavior, left_s)
+
+    def _measure_work(self, vm: SimulatedVm, run: ActiveRun) -> float:
+        return run.worked_s + (self.loop.time() - run.since_s) * vm.speed
+
     def _extend_lease(self, vm: SimulatedVm, deadline_ms: int):
         latest = self.get_clock_ms(vm) + MAX_LEASE_MS
         vm.deadline_ms = max(vm.deadline_ms, min(deadline_ms, latest))
@@ -279,15 +307,15 @@
                 task,
                 run.number,
                 "",
-                self._compute_percent(run),
+                self._compute_percent(vm, run),
                 self.measure_response(vm, run),
             )
             for task, run in vm.active_runs.items()
         ]
         return HoldAnswer(self.get_clock_ms(vm), vm.incarnation, running, list(vm.ended))
 
-    def _compute_percent(self, run: ActiveRun) -> float:
-        return int(100 * (self.loop.time() - run.began_s) / run.behavior.seconds)
+    def _compute_percent(self, vm: SimulatedVm, run: ActiveRun) -> float:
+        return int(100 * self._measure_work(vm, run) / run.behavior.seconds)
 
     def _acknowledge_ends(self, vm: SimulatedVm, seen: int):
         """Drops the ends up to a serial.
