Bound the time for which VMs are reserved without use

Cause: nothing ended some reservations. A step that must run alone extended its reservations without looking at their VMs, so that two late gangs could each hold what the other needed. A gang reserved VMs while a former member wasn't known to have ended, as after a change of the leader. A gang waited without a bound for runs over their estimates, for a place that went to more urgent work again and again, and for advice.

Change: a step may hold VMs that it can't use for as long as the runs there are expected to take (high quantile), at least 5 s and at most three times the target of its job; a gang with room that waits for advice 5 s longer, and a step that must run alone for as long as it waits for an empty VM. Then it gives all of them up for 1.2 s and tries again, avoiding the VMs whose room did not come, at the rank that it had, so that it isn't passed for good. Reservations for a step that must run alone are checked in each tick, and a gang reserves only once all its members wait. This holds without any switch.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -65,7 +65,8 @@
     work, and one that ``has_checkpoints`` then resumes from the last one. A run that
     ``expects_progress`` counts as stalled when it shows none: its progress became ``percent``
     at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
-    off. A run of a former term has no ``started_s``. ``need`` is what it books on its VM, and
+    off. A run of a former term has no ``started_s``. It is expected to end ``high_s`` after its
+    start at the latest, but for one run in ten. ``need`` is what it books on its VM, and
     ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
@@ -93,6 +94,7 @@
     stalled_polls: int = 0
     expects_progress: bool = False
     estimate_s: float = 0.0
+    high_s: float = 0.0
     checkpoint: str = ""
     priority: int = 0
     evictable: bool = False
@@ -165,13 +167,17 @@
 
 @dataclass(slots=True, eq=False)
 class Fleet:
-    """All VMs, the resources that each team uses, the reservations, and when this term began."""
+    """All VMs, the resources that each team uses, the reservations, and when this term began.
+
+    ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use.
+    """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
     used: dict[str, Resources] = field(default_factory=dict)
     term_began_s: float = 0.0
     lease_s: float = 8.0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
+    lapsed_holds: int = 0
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
--- a/caroblead/dispatch/isolation.py
+++ b/caroblead/dispatch/isolation.py
@@ -14,7 +14,7 @@
 from .crash import judge_isolation
 from .eviction import choose_vms_to_reserve
 from .fleet import Fleet, Isolation, VmRow
-from .reservation import ReservationTable
+from .reservation import ReservationTable, hold_vms, keep_vms
 from .work import StepWork
 
 # How long a task waits for an empty VM before it shares one. An endless task waits less, because
@@ -182,9 +182,14 @@
 
 
 def _reserve_to_empty(state: IsolationState, step: StepWork, rank: tuple, candidates: list[VmRow]):
+    wait_s = _get_max_wait(step)
     if state.reservations.count(step.key):
-        state.reservations.extend(step.key)
-        return
+        held = [row for row in candidates if _is_reserved_for(state, step, row)]
+        if _may_suffice(state, step, held):
+            lacking = frozenset(row.name for row in held if row.runs)
+            keep_vms(state.reservations, step, lacking, wait_s)
+            return
+        state.reservations.release(step.key)
     rows = [row for row in candidates if _can_become_empty(state, row)]
     if step.spec.gang:
         rows = choose_vms_to_reserve(step, rows, state.free, step.spec.count)
@@ -193,11 +198,23 @@
         rows = sorted(fitting, key=lambda row: (len(row.runs), row.name))[:1]
     limit = max(1, int(len(state.fleet.rows) * MAX_RESERVED_FRACTION))
     if step.spec.gang or len(state.reservations.by_vm) < limit:
-        state.reservations.reserve(step.key, rank, rows)
+        hold_vms(state.reservations, step, rank, rows, wait_s)
+
+
+def _may_suffice(state: IsolationState, step: StepWork, held: list[VmRow]) -> bool:
+    """Returns whether the VMs reserved for a step can become empty and then have room for it."""
+    rows = [row for row in held if _will_be_empty(row)]
+    if step.spec.gang:
+        return bool(choose_vms_to_reserve(step, rows, state.free, step.spec.count))
+    return any(fits(step.spec.need, row.listed.capacity) for row in rows)
 
 
 def _can_become_empty(state: IsolationState, row: VmRow) -> bool:
     """Returns whether all runs of a VM will end and no other step waits for it."""
     if row.name in state.reservations.by_vm or row.name in state.alone:
         return False
+    return _will_be_empty(row)
+
+
+def _will_be_empty(row: VmRow) -> bool:
     return all(run.expects_progress for run in row.runs.values())
--- a/caroblead/dispatch/makeroom.py
+++ b/caroblead/dispatch/makeroom.py
@@ -1,12 +1,13 @@
 """Makes room for a step that finds none: evicts less urgent runs, or reserves VMs for a gang."""
 
 from ..core.resource import NOTHING
-from .eviction import choose_evictions, choose_vms_to_reserve
+from .eviction import choose_evictions, choose_vms_to_reserve, count_fit
 from .fleet import VmRow
 from .rank import Tier
+from .reservation import hold_vms, keep_vms
 from .room import PlanningState, count_allowance
 from .score import count_tasks_per_vm
-from .work import StepWork
+from .work import StepWork, get_booked_need
 
 # The interval at which a step without room searches for runs to evict or VMs to reserve.
 SEARCH_GAP_S = 0.25
@@ -29,10 +30,10 @@
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
     if state.reservations.count(step.key):
-        if not step.spec.gang or _extend_reservations(state, step, candidates, missing):
+        if not step.spec.gang or _keep_reservations(state, step, candidates, missing):
             return
         state.reservations.release(step.key)
-    if state.now_s < step.next_search_s or state.searches_left <= 0:
+    if state.now_s < max(step.next_search_s, step.hold.paused_until_s) or state.searches_left <= 0:
         return
     state.searches_left -= 1
     step.next_search_s = state.now_s + SEARCH_GAP_S
@@ -44,18 +45,26 @@
     if chosen and len(chosen.runs) <= state.evictions_left:
         state.evictions_left -= len(chosen.runs)
         state.plan.evictions += chosen.runs
-        state.reservations.reserve(step.key, rank, chosen.rows)
+        hold_vms(state.reservations, step, rank, chosen.rows)
     elif step.spec.gang:
-        rows = choose_vms_to_reserve(step, candidates, state.free, missing)
-        state.reservations.reserve(step.key, rank, rows)
+        others = [row for row in candidates if row.name not in step.hold.avoided]
+        rows = choose_vms_to_reserve(step, others, state.free, missing)
+        if not rows and len(others) < len(candidates):
+            rows = choose_vms_to_reserve(step, candidates, state.free, missing)
+        hold_vms(state.reservations, step, rank, rows)
 
 
-def _extend_reservations(state: PlanningState, step: StepWork, candidates, missing: int) -> bool:
-    """Extends the reservations of a gang; returns false if their VMs don't suffice for it now."""
+def _keep_reservations(state: PlanningState, step: StepWork, candidates, missing: int) -> bool:
+    """Extends the reservations of a gang if they can be of use; returns whether it need not search.
+
+    It has to if their VMs don't suffice for the gang now.
+    """
     kept = [row for row in candidates if state.reservations.is_reserved_for(row.name, step.key)]
     if not choose_vms_to_reserve(step, kept, state.free, missing):
         return False
-    state.reservations.extend(step.key)
+    need = get_booked_need(step.spec)
+    lacking = frozenset(row.name for row in kept if not count_fit(need, state.free[row.name]))
+    keep_vms(state.reservations, step, lacking)
     return True
 
 
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -20,7 +20,7 @@
 )
 from .makeroom import list_open_for, make_room, may_make_room
 from .rank import rank_step
-from .reservation import ReservationTable
+from .reservation import ReservationTable, hold_vms
 from .room import (
     Placement,
     Plan,
@@ -34,10 +34,12 @@
     may_fit_elsewhere,
 )
 from .score import choose_rack, count_slots
-from .work import StepWork, get_booked_need
+from .work import Hold, StepWork, get_booked_need
 
 # A ticket is not used this close to its expiry, since the order takes time to reach the VM.
 TICKET_MARGIN_S = 0.3
+# How much longer a gang may hold VMs on which it has room while it waits for advice.
+ADVICE_HOLD_S = 5.0
 
 
 def plan_starts(
@@ -72,6 +74,7 @@
         service = find_service(configuration, job.queue)
         pool = find_pool(state, service, step.spec.label)
         _plan_step(state, step, rank, pool, configuration.teams.get(job.team))
+    state.plan.lapsed = reservations.lapsed
     return state.plan
 
 
@@ -90,12 +93,16 @@
             if chosen or (fitting and may_fit_elsewhere(state, pool, step, need)):
                 state.plan.advice_needed.append(step)
         if chosen and step.spec.gang:
-            state.reservations.reserve(step.key, rank, [row for _, row in chosen])
-            book_room(state, step, chosen)
+            rows = [row for _, row in chosen]
+            if hold_vms(state.reservations, step, rank, rows, ADVICE_HOLD_S):
+                book_room(state, step, chosen)
         if chosen:
             return
     else:
         _add_placements(state, step, chosen)
+    if step.spec.gang and len(step.waiting) < step.spec.count:
+        # It can't start before its former members have ended, whose VMs may not answer for long.
+        return
     missing = len(step.waiting) - len(chosen)
     if step.step_progress.crashes:
         missing -= hold_back(state.isolation, step, rank, chosen, candidates)
@@ -119,6 +126,7 @@
         state.plan.placements.append(Placement(step, index, row, ticket))
     if chosen and len(chosen) == len(step.waiting):
         state.reservations.release(step.key)
+        step.hold = Hold()
 
 
 def _place_step(step: StepWork, candidates, state: PlanningState, team) -> list[tuple[int, VmRow]]:
--- a/caroblead/dispatch/room.py
+++ b/caroblead/dispatch/room.py
@@ -34,11 +34,15 @@
 
 @dataclass(slots=True)
 class Plan:
-    """The tasks to start, the runs to evict, and the steps for which to request advice."""
+    """The tasks to start, the runs to evict, and the steps for which to request advice.
+
+    The steps in ``lapsed`` have had VMs reserved for too long and have given them up.
+    """
 
     placements: list[Placement] = field(default_factory=list)
     evictions: list[Run] = field(default_factory=list)
     advice_needed: list[StepWork] = field(default_factory=list)
+    lapsed: list[StepWork] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -71,6 +71,9 @@
     for run in plan.evictions:
         log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
         state.order_sender.stop(run)
+    for step in plan.lapsed:
+        state.fleet.lapsed_holds += 1
+        log("reservation:lapsed", step=str(step.key), lapses=step.hold.lapses)
     for step in plan.advice_needed:
         step.advice.pending = True
         service = find_service(configuration, step.work.job.queue)
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -27,6 +27,24 @@
     retry_s: float = 0.0
 
 
+@dataclass(slots=True)
+class Hold:
+    """How long a step has had VMs reserved without being able to use them.
+
+    It has had them since ``since_s``, last at ``last_s``, and may have them for ``limit_s`` at the
+    priority ``rank``. It gets none before ``paused_until_s``. ``lapses`` counts how often the time
+    was over, and ``avoided`` are the VMs that still lacked room then.
+    """
+
+    since_s: float = 0.0
+    last_s: float = float("-inf")
+    limit_s: float = 0.0
+    rank: tuple = ()
+    paused_until_s: float = 0.0
+    lapses: int = 0
+    avoided: frozenset[str] = frozenset()
+
+
 @dataclass(slots=True, eq=False)
 class StepWork:
     """The state of one step of one occurrence of a job, with its tasks.
@@ -35,6 +53,7 @@
     task index. The step may search for runs to evict or VMs to reserve from ``next_search_s`` on.
     ``wait_for_vm_s`` is since when a task to be run alone has waited for an empty VM, by index.
     ``expectation`` is how long a run is expected to take; ``None`` stands for the estimate.
+    ``hold`` is about the VMs that are reserved for it.
     """
 
     key: StepKey
@@ -47,6 +66,7 @@
     next_search_s: float = 0.0
     wait_for_vm_s: dict[int, float] = field(default_factory=dict)
     expectation: Expectation | None = None
+    hold: Hold = field(default_factory=Hold)
 
     def make_task_name(self, index: int) -> TaskName:
         """Returns the name of the task with this index."""
@@ -166,6 +186,7 @@
     run.priority = step.work.job.queue.priority
     run.has_checkpoints = spec.checkpoints
     run.estimate_s = spec.estimate_s
+    run.high_s = get_expectation(step).high_s
     run.expects_progress = not (spec.endless or spec.fills)
     run.endless = spec.endless
     run.target_ms, run.fills = spec.target_ms, spec.fills
