--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -68,8 +68,9 @@
     at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
     off. A run of a former term has no ``started_s``, and ``began_s`` is when the VM confirmed the
     start in this one. ``resumed`` tells whether it began from a checkpoint. ``expected_s`` is its
-    expected work as learned, 0 if only the estimate is known. ``need`` is what it books on its VM,
-    and ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
+    expected work as learned, 0 if only the estimate is known. It is expected to end ``high_s``
+    after its start at the latest, but for one run in ten. ``need`` is what it books on its VM, and
+    ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
     other runs of a VM leave free, works at ``pace`` percent of its speed; the pace of a run of a
@@ -99,6 +100,7 @@
     stalled_polls: int = 0
     expects_progress: bool = False
     estimate_s: float = 0.0
+    high_s: float = 0.0
     checkpoint: str = ""
     priority: int = 0
     evictable: bool = False
@@ -175,6 +177,7 @@
     """All VMs, the resources that each team uses, the reservations, and when this term began.
 
     ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not learned.
+    ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use.
     """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
@@ -183,6 +186,7 @@
     lease_s: float = 8.0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
     speeds: SpeedTable | None = None
+    lapsed_holds: int = 0
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
