--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -72,6 +72,7 @@
             return
         run.phase = RunPhase.ORDERED
         deadline_ms = grant_deadline(self.fleet, row, self.reports.get_confirmed_s())
+        run.resumed = bool(run.checkpoint)
         order = StartOrder(
             run.task,
             run.number,
@@ -106,6 +107,7 @@
         name = str(run.task)
         if isinstance(outcome, Started):
             run.phase = RunPhase.RUNNING
+            run.began_s = run.order_answered_s
             log_routine("task:started", task=name, run=run.number, vm=row.name)
             if not run.wanted:
                 self.stop(run)
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -71,7 +71,8 @@
     steps = []
     for work in state.open_jobs.values():
         if work.occurrences < max(1, work.job.spec.repeats):
-            open_due_occurrences(work, wall_s)
+            if open_due_occurrences(work, wall_s):
+                state.on_steps_opened(work)
         if now_s >= work.ready_s:
             steps += [step for step in work.steps.values() if is_step_ready(step)]
     if not steps or state.commit.get_delay_s() > MAX_RECORD_DELAY_S:
@@ -91,6 +92,9 @@
     for run in plan.evictions:
         log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
         state.order_sender.stop(run)
+    for step in plan.lapsed:
+        state.fleet.lapsed_holds += 1
+        log("reservation:lapsed", step=str(step.key), lapses=step.hold.lapses)
     for step in _select_requests(state, steps, plan.advice_needed, wall_s):
         step.advice.pending = True
         service = find_service(configuration, step.work.job.queue)
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -59,7 +59,8 @@
     ``faults_by_node`` holds the injected faults of each node, by its name. ``draining_s`` is the
     loop time at which the registry first showed a VM as draining. The VMs are spread over the
     ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0. ``evacuated_s`` is the
-    loop time at which the operators last evacuated each zone.
+    loop time at which the operators last evacuated each zone. ``settings`` are the settings of
+    all nodes that differ from the defaults.
     """
 
     vm_simulator: VmSimulator
@@ -76,6 +77,7 @@
     zones: tuple[str, ...] = ("a",)
     evacuation_ms: float = 0
     evacuated_s: dict[str, float] = field(default_factory=dict)
+    settings: dict[str, object] = field(default_factory=dict)
 
 
 def make_listed_vm(
@@ -162,6 +164,7 @@
     cap: Resources | None = None,
     zones: tuple[str, ...] = ("a",),
     evacuation_ms: float = 0,
+    settings: dict[str, object] | None = None,
 ) -> Site:
     """Starts nodes, VMs and a store and waits until a leader is elected.
 
@@ -174,6 +177,7 @@
         cap=cap or Resources(),
         zones=zones,
         evacuation_ms=evacuation_ms,
+        settings=settings or {},
     )
     site.vm_simulator.on_crashed = partial(show_crash_in_registry, site)
     publish_config(site, 1)
@@ -200,6 +204,7 @@
         store="127.0.0.1:1",
         core_share=strength,
         evacuation_ms=site.evacuation_ms,
+        **site.settings,
     )
     adapters = NodeAdapters(
         MemoryLog(site.ledger, caller_faults),
