--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -178,7 +178,8 @@
 
     No task starts in the ``evacuated_zones``, and no start order sent now may be carried out later
     than ``start_until_s``. ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not
-    learned. ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use.
+    learned. ``lapsed_holds`` counts how often a step has had to give up reservations that it
+    couldn't use.
     """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
