Add evacuations of zones to the trials under mixed faults

A trial may evacuate zones at random times while nodes, the store and VMs fail, and the history is checked for starts in a zone after the bound. Evacuations have draws of their own, so the trials of known seeds stay as they were.

--- a/caroblead/node/evacuation_mechanism_test.py
+++ b/caroblead/node/evacuation_mechanism_test.py
@@ -20,6 +20,7 @@
     evacuate_while_starts_are_recorded,
     evacuate_without_the_leader,
     evacuate_zones,
+    get_evacuated_s,
     list_starts,
     lose_history_while_the_zones_change,
     run_with_slow_reads,
@@ -66,7 +67,7 @@
 
 
 def list_wrong_starts(site, after_s):
-    return list_starts(site, "a", site.evacuated_s["a"] + after_s)
+    return list_starts(site, "a", get_evacuated_s(site, "a") + after_s)
 
 
 @pytest.mark.parametrize(
@@ -105,5 +106,5 @@
 def test_leader_that_cannot_read_the_operators_log_starts_tasks_without_the_mechanism(monkeypatch):
     trust_readings_of_any_age(monkeypatch)
     site = run_scenario(evacuate_without_the_leader)
-    evacuated_s = site.evacuated_s["a"]
+    evacuated_s = get_evacuated_s(site, "a")
     assert list_starts(site, "b", evacuated_s + 3.5, evacuated_s + 10)
--- a/caroblead/node/evacuation_test.py
+++ b/caroblead/node/evacuation_test.py
@@ -1,14 +1,10 @@
 """Tests of the evacuation of zones under load and failures, checked against what the VMs did."""
 
 import asyncio
-import json
 from functools import partial
 
-import eliot
 import pytest
 
-from ..core.resource import Resources
-from ..events.jobtrace import collect_job_trace, format_job_trace
 from ..standin.cluster import (
     evacuate_zone,
     find_leader,
@@ -24,10 +20,10 @@
     wait_for_leader,
 )
 from ..standin.keyedlog import CallerFaults
-from ..standin.trial import check_site
+from ..standin.trial import EVACUATION_MS, check_site
 from ..standin.work import make_spec, make_step
+from .program import CONFIGURATION_WAIT_S
 
-EVACUATION_MS = 5000
 BOUND_S = EVACUATION_MS / 1000
 # In calm, a node reads the operators' log without delay, so a zone empties and fills sooner.
 CALM_S = 0.5
@@ -45,6 +41,11 @@
     ]
 
 
+def get_evacuated_s(site, zone):
+    """Returns when a zone was first evacuated."""
+    return next(item.began_s for item in site.evacuations if item.zone == zone)
+
+
 def get_time_s():
     return asyncio.get_running_loop().time()
 
@@ -84,7 +85,7 @@
 @pytest.mark.parametrize("evacuated", [("a",), ("a", "b"), ("a", "b", "c")])
 def test_zone_gets_no_tasks_while_it_is_evacuated_and_gets_some_at_once_after(evacuated):
     site = run_scenario(partial(evacuate_zones, evacuated))
-    began_s = site.evacuated_s["a"]
+    began_s = get_evacuated_s(site, "a")
     ended_s = began_s + 6
     for zone in site.zones:
         assert list_starts(site, zone, 0, began_s)
@@ -106,39 +107,18 @@
     run_scenario(scenario)
 
 
-def test_zones_are_not_evacuated_where_the_setting_is_0():
-    metrics = []
-
-    async def scenario():
-        site = await start_site(zones=("a", "b"))
-        for zone in site.zones:
-            evacuate_zone(site, zone)
-        await asyncio.sleep(1)
-        job = await submit(site, "n0", make_spec(make_step(1)))
-        await asyncio.sleep(2)
-        assert [event.task.job for event in site.vm_simulator.history if event.kind == "start"] == [
-            job
-        ]
-        metrics.append(site.nodes["n0"].write_metrics())
-        return site
-
-    run_scenario(scenario)
-    assert "zones_evacuated" not in metrics[0]
-
-
-def test_gauge_counts_the_evacuated_zones_of_every_node():
-    metrics = []
-
+def test_new_leader_waits_for_no_more_than_the_read_that_is_under_way():
     async def scenario():
-        site = await start_site(zones=("a", "b"), evacuation_ms=EVACUATION_MS)
-        for zone in ("a", "nowhere"):
-            evacuate_zone(site, zone)
-        await asyncio.sleep(1)
-        metrics.extend(node.write_metrics() for node in site.nodes.values())
+        site, stream = await start_loaded_site(seconds=8)
+        await kill_node(site, find_leader(site))
+        leader = site.nodes[await wait_for_leader(site)].leader
+        began_s = leader.fleet.term_began_s
+        await finish(site, stream)
+        first_s = min(list_starts(site, zone, began_s)[0].at_s for zone in site.zones)
+        assert first_s - began_s < CONFIGURATION_WAIT_S + 0.1
         return site
 
     run_scenario(scenario)
-    assert ["caroblead_zones_evacuated 2" in text for text in metrics] == [True] * 3
 
 
 def test_key_removed_during_a_leader_change_frees_the_zone_for_the_new_leader():
@@ -175,8 +155,8 @@
 
 def test_new_leader_reads_the_operators_log_to_its_end_before_its_first_start():
     site = run_scenario(evacuate_during_a_leader_change)
-    assert list_starts(site, "b", site.evacuated_s["a"])
-    assert list_starts(site, "a", site.evacuated_s["a"] + CALM_S) == []
+    assert list_starts(site, "b", get_evacuated_s(site, "a"))
+    assert list_starts(site, "a", get_evacuated_s(site, "a") + CALM_S) == []
 
 
 async def run_with_slow_reads(read_delay_s):
@@ -197,8 +177,8 @@
 @pytest.mark.parametrize("read_delay_s", [0.3, 1.0, 2.5, 4.0, 7.0])
 def test_bound_holds_while_the_store_is_slow(read_delay_s):
     site = run_scenario(partial(run_with_slow_reads, read_delay_s))
-    assert list_starts(site, "a", site.evacuated_s["a"] + BOUND_S) == []
-    assert list_starts(site, "b", site.evacuated_s["a"] + BOUND_S)
+    assert list_starts(site, "a", get_evacuated_s(site, "a") + BOUND_S) == []
+    assert list_starts(site, "b", get_evacuated_s(site, "a") + BOUND_S)
 
 
 async def evacuate_without_the_leader():
@@ -215,8 +195,8 @@
 
 def test_leader_that_cannot_read_the_operators_log_starts_nothing_anywhere():
     site = run_scenario(evacuate_without_the_leader)
-    assert list_starts(site, "a", site.evacuated_s["a"] + BOUND_S) == []
-    back_s = site.evacuated_s["a"] + 10
+    assert list_starts(site, "a", get_evacuated_s(site, "a") + BOUND_S) == []
+    back_s = get_evacuated_s(site, "a") + 10
     assert list_starts(site, "b", back_s - 6.5, back_s) == []
     assert list_starts(site, "b", back_s, back_s + 1.5)
 
@@ -239,12 +219,12 @@
 def test_complete_read_after_lost_history_replaces_the_evacuated_zones():
     site = run_scenario(lose_history_while_the_zones_change)
     assert {node.evacuation_view.zones for node in site.nodes.values()} == {frozenset("b")}
-    assert list_starts(site, "a", site.evacuated_s["b"] + 6.5)
-    assert list_starts(site, "b", site.evacuated_s["b"] + BOUND_S) == []
+    assert list_starts(site, "a", get_evacuated_s(site, "b") + 6.5)
+    assert list_starts(site, "b", get_evacuated_s(site, "b") + BOUND_S) == []
 
 
-async def evacuate_while_starts_are_recorded(gang):
-    """Evacuates one of two zones after a step of 8 was planned and before it is sent."""
+async def evacuate_while_starts_are_recorded(gang, zone="a"):
+    """Evacuates a zone after a step of 8 was planned and before it is sent."""
     site = await start_site(2, zones=("a", "b"), evacuation_ms=EVACUATION_MS)
     await asyncio.sleep(1)
     leader = site.nodes[find_leader(site)].leader
@@ -259,16 +239,17 @@
     await submit(site, "n0", spec)
     while not leader.fleet.rows["vm-0"].runs:
         await asyncio.sleep(0.01)
-    evacuate_zone(site, "a")
+    evacuate_zone(site, zone)
     await asyncio.sleep(4)
     return site
 
 
 @pytest.mark.parametrize("gang", [False, True])
-def test_recorded_start_is_withdrawn_and_a_gang_as_a_whole(gang):
-    site = run_scenario(partial(evacuate_while_starts_are_recorded, gang))
-    assert list_starts(site, "a", site.evacuated_s["a"]) == []
-    assert bool(list_starts(site, "b", site.evacuated_s["a"])) is not gang
+@pytest.mark.parametrize(("evacuated", "other"), [("a", "b"), ("b", "a")])
+def test_recorded_start_is_withdrawn_and_a_gang_as_a_whole(gang, evacuated, other):
+    site = run_scenario(partial(evacuate_while_starts_are_recorded, gang, evacuated))
+    assert list_starts(site, evacuated) == []
+    assert bool(list_starts(site, other)) is not gang
 
 
 async def delay_an_order_beyond_the_bound():
@@ -288,7 +269,7 @@
 
 def test_delayed_order_is_not_carried_out_after_the_bound():
     site = run_scenario(delay_an_order_beyond_the_bound)
-    assert list_starts(site, "a", site.evacuated_s["a"] + BOUND_S) == []
+    assert list_starts(site, "a", get_evacuated_s(site, "a") + BOUND_S) == []
 
 
 def test_runs_in_the_zone_continue_and_a_lasting_task_moves_only_once_it_has_ended():
@@ -314,67 +295,6 @@
     run_scenario(scenario)
 
 
-def capture_log(monkeypatch):
-    """Returns a list to which each log message is appended as the line of a node's log."""
-    lines = []
-
-    def record(kind, **fields):
-        fields |= {"timestamp": get_time_s(), "node": "n", "message_type": kind}
-        lines.append(json.dumps(fields, default=str))
-
-    monkeypatch.setattr(eliot, "log_message", record)
-    return lines
-
-
-def test_explain_tells_why_a_step_that_can_only_run_in_an_evacuated_zone_waits(monkeypatch):
-    lines, jobs = capture_log(monkeypatch), []
-
-    async def scenario():
-        site = await start_site(2, zones=("a", "b"), evacuation_ms=EVACUATION_MS)
-        large = Resources(8000, 1024)
-        site.vm_simulator.resize("vm-0", large)
-        put_vm_entry(site, make_listed_vm(0, capacity=large))
-        evacuate_zone(site, "a")
-        await asyncio.sleep(1)
-        jobs.append(await submit(site, "n0", make_spec(make_step(1, need=large))))
-        await asyncio.sleep(4)
-        restore_zone(site, "a")
-        await asyncio.sleep(3)
-        return site
-
-    run_scenario(scenario)
-    output_lines = format_job_trace(collect_job_trace(jobs[0], [("n.log", lines)]))
-    (waits,) = [line for line in output_lines if "step:waits " in line]
-    assert "zones=a" in waits
-    assert "only VMs of evacuated zones could run it" in waits
-    assert any("step:waits_no_longer" in line for line in output_lines)
-    assert any("meanwhile" in line and "evacuation:applied" in line for line in output_lines)
-
-
-def test_cold_vm_is_used_only_when_the_others_are_full():
-    async def scenario():
-        site = await start_site(2, node_count=1, evacuation_ms=EVACUATION_MS)
-        # Of two empty VMs the first by name is chosen otherwise.
-        put_vm_entry(site, make_listed_vm(0, draining=True, cold_remaining_ms=4000))
-        await asyncio.sleep(1)
-        put_vm_entry(site, make_listed_vm(0, cold_remaining_ms=4000))
-        await asyncio.sleep(1)
-        await submit_stream(site, make_spec(make_step(1), seconds=2), 4, 0.05)
-        assert {event.vm for event in site.vm_simulator.history} == {"vm-1"}
-        await submit(site, "n0", make_spec(make_step(1), seconds=2))
-        await asyncio.sleep(0.5)
-        assert [event.vm for event in site.vm_simulator.history if event.kind == "start"][4:] == [
-            "vm-0"
-        ]
-        await asyncio.sleep(5)
-        await submit(site, "n0", make_spec(make_step(1), seconds=2))
-        await asyncio.sleep(0.5)
-        assert site.vm_simulator.history[-1].vm == "vm-0"
-        return site
-
-    run_scenario(scenario)
-
-
 def test_node_that_starts_anew_evacuates_the_zones_of_before():
     async def scenario():
         site, stream = await start_loaded_site(seconds=10)
--- a/caroblead/node/trial_test.py
+++ b/caroblead/node/trial_test.py
@@ -36,3 +36,10 @@
     outcome = run_trial(seed, crashing_jobs)
     assert outcome.problems == [], outcome.faults
     assert outcome.starts > 50
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_trial_with_evacuated_zones_keeps_every_guarantee(seed):
+    outcome = run_trial(seed, evacuations=4)
+    assert outcome.problems == [], outcome.faults
+    assert outcome.starts > 50
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -19,7 +19,7 @@
 from ..node.setting import NodeSettings
 from ..platform.evacuation import KEY_PREFIX, decode_evacuated_zone
 from .keyedlog import CallerFaults, MemoryLog, MemoryTopic
-from .verdict import CallerRecords
+from .verdict import CallerRecords, Evacuation
 from .vmcontrol import SimulatedVmControl
 from .vmsimulator import SimulatedVm, VmSimulator
 from .work import make_behavior_lookup
@@ -58,8 +58,7 @@
     ``caller_records`` records what callers requested and which responses they got.
     ``faults_by_node`` holds the injected faults of each node, by its name. ``draining_s`` is the
     loop time at which the registry first showed a VM as draining. The VMs are spread over the
-    ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0. ``evacuated_s`` is the
-    loop time at which the operators last evacuated each zone.
+    ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0.
     """
 
     vm_simulator: VmSimulator
@@ -75,7 +74,7 @@
     cap: Resources = Resources()
     zones: tuple[str, ...] = ("a",)
     evacuation_ms: float = 0
-    evacuated_s: dict[str, float] = field(default_factory=dict)
+    evacuations: list[Evacuation] = field(default_factory=list)
 
 
 def make_listed_vm(
@@ -109,12 +108,22 @@
 def evacuate_zone(site: Site, zone: str):
     """Writes the key by which the operators evacuate a zone."""
     site.config.append([KeyedRecord(KEY_PREFIX + zone, b"{}")], None)
-    site.evacuated_s[zone] = asyncio.get_running_loop().time()
+    if _find_evacuation(site, zone) is None:
+        site.evacuations.append(Evacuation(zone, asyncio.get_running_loop().time()))
 
 
 def restore_zone(site: Site, zone: str):
     """Removes the key by which the operators evacuate a zone."""
     site.config.append([KeyedRecord(KEY_PREFIX + zone, b"")], None)
+    evacuation = _find_evacuation(site, zone)
+    if evacuation is not None:
+        evacuation.ended_s = asyncio.get_running_loop().time()
+
+
+def _find_evacuation(site: Site, zone: str) -> Evacuation | None:
+    """Returns the evacuation of a zone that hasn't ended, if there is one."""
+    infinity = float("inf")
+    return next((e for e in site.evacuations if e.zone == zone and e.ended_s == infinity), None)
 
 
 def put_vm_entry(site: Site, listed: ListedVm):
@@ -143,7 +152,7 @@
     vm = site.vm_simulator.vms[f"vm-{number}"]
     site.vm_simulator.resize(vm.listed.name, capacity)
     await asyncio.sleep(entry_delay_s)
-    put_vm_entry(site, make_listed_vm(number, vm.incarnation, capacity=vm.listed.capacity))
+    put_vm_entry(site, replace(vm.listed, incarnation=vm.incarnation))
 
 
 def show_crash_in_registry(site: Site, vm: SimulatedVm, down_s: float):
--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..core.resource import Resources
 from ..jobs.data import JobSpec, StepSpec
@@ -19,17 +19,18 @@
     QUEUES,
     Site,
     cancel,
+    evacuate_zone,
     find_leader,
     kill_node,
-    make_listed_vm,
     put_vm_entry,
     resize_vm,
+    restore_zone,
     run_scenario,
     start_node,
     start_site,
     submit,
 )
-from .verdict import find_violations
+from .verdict import find_violations, list_starts_in_evacuated_zones
 from .work import FAILS_EVERY_RUN, find_end_state, make_spec
 
 VM_COUNT = 5
@@ -37,6 +38,8 @@
 TRAFFIC_S = 12.0
 SETTLE_S = 45.0
 SETTLE_PER_CRASHING_JOB_S = 15.0
+ZONES = ("a", "b")
+EVACUATION_MS = 5000
 JOBS = 40
 FAULT_COUNTS = (2, 3, 4, 5)
 CANCELLED_FRACTION = 0.1
@@ -154,7 +157,7 @@
     down_s = rng.uniform(0.3, 3.0)
     site.vm_simulator.crash(f"vm-{number}", down_s)
     await asyncio.sleep(down_s + rng.uniform(0.1, 1.0))
-    put_vm_entry(site, make_listed_vm(number, vm.incarnation, capacity=vm.listed.capacity))
+    put_vm_entry(site, replace(vm.listed, incarnation=vm.incarnation))
 
 
 async def cut_vm(site: Site, rng: random.Random):
@@ -263,6 +266,22 @@
     return [(rng.uniform(1.0, TRAFFIC_S), random.Random(rng.random())) for _ in range(count)]
 
 
+def draw_evacuations(seed: int, count: int) -> list[tuple[float, str, float]]:
+    """Returns when a zone is evacuated in the trial of a seed, which one, and for how long."""
+    rng = random.Random(f"evacuations of {seed}")
+    return [
+        (rng.uniform(0.5, TRAFFIC_S), rng.choice((*ZONES, "unknown")), rng.uniform(2.0, 12.0))
+        for _ in range(count)
+    ]
+
+
+async def _evacuate(site: Site, at_s: float, zone: str, duration_s: float):
+    await asyncio.sleep(at_s)
+    evacuate_zone(site, zone)
+    await asyncio.sleep(duration_s)
+    restore_zone(site, zone)
+
+
 async def _run_fault(site: Site, fault: Fault, at_s: float, rng: random.Random, result):
     await asyncio.sleep(at_s)
     result.faults.append(fault.__name__)
@@ -288,18 +307,20 @@
             await submit(site, node, generate_crashing_job(rng), queue)
 
 
-def run_trial(seed: int, crashing_jobs: int = 0) -> TrialResult:
+def run_trial(seed: int, crashing_jobs: int = 0, evacuations: int = 0) -> TrialResult:
     """Runs the trial of a seed in virtual time and returns its result.
 
     Up to ``crashing_jobs`` jobs are added whose tasks crash their VMs. They have draws of their
-    own, so that they don't change the other jobs and the faults.
+    own, so that they don't change the other jobs and the faults. The same holds for the
+    ``evacuations`` of zones.
     """
     rng = random.Random(seed)
     result = TrialResult(seed)
     cap = rng.choice((Resources(), Resources(12_000, 0)))
 
     async def scenario() -> Site:
-        site = await start_site(VM_COUNT, NODE_COUNT, cap)
+        evacuation_ms = EVACUATION_MS if evacuations else 0
+        site = await start_site(VM_COUNT, NODE_COUNT, cap, ZONES, evacuation_ms)
         chosen = [rng.choice(FAULTS) for _ in range(rng.choice(FAULT_COUNTS))]
         tasks = [
             asyncio.create_task(
@@ -311,6 +332,10 @@
             asyncio.create_task(_run_fault(site, shrink_vm, at_s, fault_rng, result))
             for at_s, fault_rng in draw_shrinks(seed)
         ]
+        tasks += [
+            asyncio.create_task(_evacuate(site, *drawn))
+            for drawn in draw_evacuations(seed, evacuations)
+        ]
         if crashing_jobs:
             crash_rng = random.Random(f"crashing jobs of {seed}")
             submission = _submit_crashing_jobs(site, crash_rng, crashing_jobs)
@@ -318,7 +343,7 @@
         await _submit_jobs(site, rng)
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S + crashing_jobs * SETTLE_PER_CRASHING_JOB_S)
-        result.problems += check_site(site)
+        result.problems += check_site(site) + check_evacuations(site)
         result.accepted = len(site.caller_records.accepted)
         result.starts = sum(event.kind == "start" for event in site.vm_simulator.history)
         return site
@@ -339,3 +364,12 @@
             if state is not find_end_state(spec):
                 problems.append(f"{node.settings.node} shows {name} as {state}")
     return problems
+
+
+def check_evacuations(site: Site) -> list[str]:
+    """Returns the starts in evacuated zones of a site after the bound of its nodes."""
+    vms = site.vm_simulator.vms
+    zones = {name: vm.listed.zone for name, vm in vms.items()}
+    bound_s = site.evacuation_ms / 1000
+    history = site.vm_simulator.history
+    return list_starts_in_evacuated_zones(history, zones, site.evacuations, bound_s)
--- a/caroblead/standin/verdict.py
+++ b/caroblead/standin/verdict.py
@@ -45,6 +45,15 @@
         return {name: self.jobs[name] for name in sorted(self.accepted - self.cancel_requested)}
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """A time in which the operators evacuated a zone."""
+
+    zone: str
+    began_s: float
+    ended_s: float = float("inf")
+
+
 @dataclass(slots=True)
 class ReplayState:
     """The active runs and the outcomes of tasks, at one point of the history.
@@ -270,3 +279,23 @@
         for event in history
         if event.kind == "start" and event.at_s > draining_s.get(event.vm, event.at_s) + bound_s
     ]
+
+
+def list_starts_in_evacuated_zones(
+    history: list[HistoryEvent],
+    zones: dict[str, str],
+    evacuations: list[Evacuation],
+    bound_s: float,
+) -> list[str]:
+    """Returns the starts in a zone more than ``bound_s`` seconds after its evacuation began.
+
+    ``zones`` names the zone of each VM.
+    """
+    return [
+        f"{event.at_s:.3f} {event.task} on {event.vm}, evacuated since {evacuation.began_s:.3f}"
+        for evacuation in evacuations
+        for event in history
+        if event.kind == "start"
+        and zones[event.vm] == evacuation.zone
+        and evacuation.began_s + bound_s < event.at_s <= evacuation.ended_s
+    ]
