Let a restarted test VM register with its present capacity

It now takes the entry when the VM registers. Tests of dispatch, node, platform, stand-in, events and tools: 554 passed.

--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -161,8 +161,13 @@
     if down_s > ENTRY_EXPIRY_S:
         expired = KeyedRecord(vm.listed.name, b"")
         call_later(ENTRY_EXPIRY_S, site.registry.append, [expired], None)
-    listed = replace(vm.listed, incarnation=vm.incarnation + 1)
-    call_later(down_s + REGISTER_DELAY_S, put_vm_entry, site, listed)
+    incarnation = vm.incarnation + 1
+
+    def register():
+        # The VM may have been resized while it was down.
+        put_vm_entry(site, replace(vm.listed, incarnation=incarnation))
+
+    call_later(down_s + REGISTER_DELAY_S, register)
 
 
 async def start_site(
