--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -19,7 +19,7 @@
 from ..node.setting import NodeSettings
 from ..platform.evacuation import KEY_PREFIX, decode_evacuated_zone
 from .keyedlog import CallerFaults, MemoryLog, MemoryTopic
-from .verdict import CallerRecords
+from .verdict import CallerRecords, Evacuation
 from .vmcontrol import SimulatedVmControl
 from .vmsimulator import SimulatedVm, VmSimulator
 from .work import make_behavior_lookup
@@ -58,9 +58,8 @@
     ``caller_records`` records what callers requested and which responses they got.
     ``faults_by_node`` holds the injected faults of each node, by its name. ``draining_s`` is the
     loop time at which the registry first showed a VM as draining. The VMs are spread over the
-    ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0. ``evacuated_s`` is the
-    loop time at which the operators last evacuated each zone. ``settings`` are the settings of
-    all nodes that differ from the defaults.
+    ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0. ``settings`` are the
+    settings of all nodes that differ from the defaults.
     """
 
     vm_simulator: VmSimulator
@@ -76,8 +75,8 @@
     cap: Resources = Resources()
     zones: tuple[str, ...] = ("a",)
     evacuation_ms: float = 0
-    evacuated_s: dict[str, float] = field(default_factory=dict)
     settings: dict[str, object] = field(default_factory=dict)
+    evacuations: list[Evacuation] = field(default_factory=list)
 
 
 def make_listed_vm(
@@ -111,12 +110,22 @@
 def evacuate_zone(site: Site, zone: str):
     """Writes the key by which the operators evacuate a zone."""
     site.config.append([KeyedRecord(KEY_PREFIX + zone, b"{}")], None)
-    site.evacuated_s[zone] = asyncio.get_running_loop().time()
+    if _find_evacuation(site, zone) is None:
+        site.evacuations.append(Evacuation(zone, asyncio.get_running_loop().time()))
 
 
 def restore_zone(site: Site, zone: str):
     """Removes the key by which the operators evacuate a zone."""
     site.config.append([KeyedRecord(KEY_PREFIX + zone, b"")], None)
+    evacuation = _find_evacuation(site, zone)
+    if evacuation is not None:
+        evacuation.ended_s = asyncio.get_running_loop().time()
+
+
+def _find_evacuation(site: Site, zone: str) -> Evacuation | None:
+    """Returns the evacuation of a zone that hasn't ended, if there is one."""
+    infinity = float("inf")
+    return next((e for e in site.evacuations if e.zone == zone and e.ended_s == infinity), None)
 
 
 def put_vm_entry(site: Site, listed: ListedVm):
@@ -145,7 +154,7 @@
     vm = site.vm_simulator.vms[f"vm-{number}"]
     site.vm_simulator.resize(vm.listed.name, capacity)
     await asyncio.sleep(entry_delay_s)
-    put_vm_entry(site, make_listed_vm(number, vm.incarnation, capacity=vm.listed.capacity))
+    put_vm_entry(site, replace(vm.listed, incarnation=vm.incarnation))
 
 
 def show_crash_in_registry(site: Site, vm: SimulatedVm, down_s: float):
@@ -154,8 +163,13 @@
     if down_s > ENTRY_EXPIRY_S:
         expired = KeyedRecord(vm.listed.name, b"")
         call_later(ENTRY_EXPIRY_S, site.registry.append, [expired], None)
-    listed = replace(vm.listed, incarnation=vm.incarnation + 1)
-    call_later(down_s + REGISTER_DELAY_S, put_vm_entry, site, listed)
+    incarnation = vm.incarnation + 1
+
+    def register():
+        # The VM may have been resized while it was down.
+        put_vm_entry(site, replace(vm.listed, incarnation=incarnation))
+
+    call_later(down_s + REGISTER_DELAY_S, register)
 
 
 async def start_site(
