Add the record of the leader's load report

Cause: under load the nodes accept jobs that can't be served within their useful time, because only the leader knows the backlog. Change: key l/load holds a versioned report with the expected waits of at most 64 queues and the teams over their share. A malformed report, or one of an unknown version, is logged and also ends the one before. An append that holds only a report counts as a heartbeat.

--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -9,10 +9,12 @@
 from .data import FINAL_STATES, Job, JobState
 from .record import (
     KeyedRecord,
+    LoadReport,
     NodeRecord,
     RecordKind,
     Term,
     decode_job,
+    decode_load_report,
     decode_node,
     decode_term,
     read_final_time,
@@ -59,7 +61,8 @@
 class Ledger:
     """The jobs, the leader's term and the nodes, as far as the log has been read.
 
-    ``ended`` holds the final state of jobs whose specification has been dropped.
+    ``ended`` holds the final state of jobs whose specification has been dropped. ``load_report`` is
+    the leader's last load report, or ``None`` if that can't be decoded.
     """
 
     jobs: dict[str, StoredJob] = field(default_factory=dict)
@@ -69,6 +72,7 @@
     pending_progress: dict[str, bytes] = field(default_factory=dict)
     term: Term | None = None
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    load_report: LoadReport | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,7 +105,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HeartbeatReceived:
-    """The leader recorded a heartbeat."""
+    """The leader recorded a heartbeat, or a load report, which is as good a sign of it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,6 +122,7 @@
 
 HEARTBEAT_NAME = "leader"
 RESIGNATION_NAME = "resigned"
+LOAD_REPORT_NAME = "load"
 
 
 def apply_record(ledger: Ledger, record: KeyedRecord) -> Change | None:
@@ -136,6 +141,11 @@
         if record.name != RESIGNATION_NAME:
             return HeartbeatReceived()
         return _apply_resignation(ledger, record)
+    if record.kind == RecordKind.LOAD and record.name == LOAD_REPORT_NAME:
+        # A report that can't be decoded also ends the effect of the one before.
+        ledger.load_report = None
+        ledger.load_report = decode_load_report(record.value)
+        return HeartbeatReceived()
     if record.kind == RecordKind.TERM and record.value:
         term = decode_term(record.value)
         if ledger.term is not None and term.number <= ledger.term.number:
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -8,7 +8,7 @@
 
 import enum
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import orjson
 
@@ -37,6 +37,7 @@
     TERM = "t"
     HEARTBEAT = "b"
     NODE = "n"
+    LOAD = "l"
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,12 +79,45 @@
     strength: float = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class QueueWait:
+    """How long a new job of a queue is expected to wait, in seconds.
+
+    ``within_s`` applies to teams within their share and ``beyond_s`` to teams over their share.
+    ``jobs_per_s`` is how many jobs of the queue are expected to begin per second.
+    """
+
+    within_s: float
+    beyond_s: float
+    jobs_per_s: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class LoadReport:
+    """The leader's report on the expected waits; a queue or team without an entry may submit.
+
+    ``serial`` numbers the reports of a term, and ``at_s`` is the wall-clock time of the report.
+    ``teams_over_share`` are the teams that have submitted more than their share lately.
+    """
+
+    term: int
+    serial: int
+    at_s: float
+    waits: dict[str, QueueWait] = field(default_factory=dict)
+    teams_over_share: frozenset[str] = frozenset()
+
+
 def make_key(kind: RecordKind, name: str) -> str:
     """Returns the key of a record, such as ``p/`` and the job id for the progress of a job."""
     return f"{kind}/{name}"
 
 
 COMPRESSION_LEVEL = 1
+# The first field of a load report. A node that doesn't know the version ignores the report.
+LOAD_REPORT_VERSION = 1
+# The bounds of a load report, which every node reads once a second under load.
+MAX_REPORTED_QUEUES = 64
+MAX_REPORTED_TEAMS = 256
 
 # The first byte of a progress record is the state of the job, which nodes read without
 # decompressing the record.
@@ -254,3 +288,43 @@
 def decode_node(value: bytes) -> NodeRecord:
     """Decodes the address and the capacity of a node."""
     return NodeRecord(*orjson.loads(value))
+
+
+def encode_load_report(report: LoadReport) -> bytes:
+    """Encodes a load report.
+
+    Of more queues than the report may hold, those with the longest waits are kept; the nodes accept
+    the jobs of the others.
+    """
+    longest = sorted(report.waits.items(), key=lambda item: (-item[1].beyond_s, item[0]))
+    waits = {
+        name: [wait.within_s, wait.beyond_s, wait.jobs_per_s]
+        for name, wait in longest[:MAX_REPORTED_QUEUES]
+    }
+    teams = sorted(report.teams_over_share)[:MAX_REPORTED_TEAMS]
+    fields = [LOAD_REPORT_VERSION, report.term, report.serial, report.at_s, waits, teams]
+    return orjson.dumps(fields)
+
+
+def decode_load_report(value: bytes) -> LoadReport:
+    """Decodes a load report; raises ``ValueError`` or ``TypeError`` for any other content."""
+    version, *fields = orjson.loads(value)
+    if version != LOAD_REPORT_VERSION:
+        raise ValueError(f"unknown version {version!r} of the load report")
+    term, serial, at_s, waits, teams = fields
+    if not isinstance(teams, list) or not all(isinstance(team, str) for team in teams):
+        raise ValueError("the teams of the load report must be a list of names")
+    decoded = {name: QueueWait(*map(_read_number, wait)) for name, wait in waits.items()}
+    return LoadReport(
+        int(_read_number(term)),
+        int(_read_number(serial)),
+        _read_number(at_s),
+        decoded,
+        frozenset(teams),
+    )
+
+
+def _read_number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError(f"{value!r} is not a number of the load report")
+    return value
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -3,6 +3,7 @@
 import zlib
 
 import orjson
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -19,6 +20,8 @@
     StepSpec,
 )
 from .ledger import (
+    MALFORMED,
+    HeartbeatReceived,
     JobAdded,
     JobCancelled,
     LeaderResigned,
@@ -29,12 +32,17 @@
     find_state,
 )
 from .record import (
+    MAX_REPORTED_QUEUES,
     KeyedRecord,
+    LoadReport,
+    QueueWait,
     RecordKind,
     Term,
     decode_job,
+    decode_load_report,
     decode_progress,
     encode_job,
+    encode_load_report,
     encode_progress,
     encode_term,
     make_key,
@@ -153,3 +161,42 @@
     assert apply_record(ledger, make_record(RecordKind.HEARTBEAT, "resigned", b"1")) is None
     resigned = apply_record(ledger, make_record(RecordKind.HEARTBEAT, "resigned", b"2"))
     assert resigned == LeaderResigned()
+
+
+REPORT = LoadReport(3, 7, 12.5, {"q": QueueWait(1.5, 4.0, 2.0)}, frozenset({"east"}))
+
+
+def test_load_report_survives_its_encoding():
+    ledger = Ledger()
+    record = make_record(RecordKind.LOAD, "load", encode_load_report(REPORT))
+    assert isinstance(apply_record(ledger, record), HeartbeatReceived)
+    assert ledger.load_report == REPORT
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{}",
+        b"noise",
+        encode_load_report(REPORT).replace(b"[1,", b"[2,", 1),
+        b'[1,3,7,12.5,{"q":[1.5,null,2.0]},[]]',
+        b'[1,3,7,12.5,{"q":[-1,0,0]},[]]',
+        b'[1,3,7,12.5,{"q":[1,2]},"east"]',
+    ],
+)
+def test_malformed_or_unknown_load_report_also_ends_the_one_before(value):
+    ledger = Ledger()
+    apply_record(ledger, make_record(RecordKind.LOAD, "load", encode_load_report(REPORT)))
+    with pytest.raises(MALFORMED):
+        apply_record(ledger, make_record(RecordKind.LOAD, "load", value))
+    assert ledger.load_report is None
+
+
+def test_load_report_of_a_large_site_stays_small_and_keeps_the_longest_waits():
+    waits = {f"queue-{n:04}": QueueWait(n / 10, n / 5, 1.0) for n in range(1000)}
+    teams = frozenset(f"team-{n:04}" for n in range(1000))
+    value = encode_load_report(LoadReport(3, 7, 12.5, waits, teams))
+    assert len(value) < 8192
+    decoded = decode_load_report(value)
+    assert len(decoded.waits) == MAX_REPORTED_QUEUES and "queue-0999" in decoded.waits
--- a/caroblead/platform/malformed_test.py
+++ b/caroblead/platform/malformed_test.py
@@ -130,10 +130,21 @@
                 assert str(error)
 
 
-@given(st.sampled_from("jcptbnx"), st.text(max_size=4), VALUES, st.binary(max_size=20))
+@given(st.sampled_from("jcptbnlx"), st.text(max_size=4), VALUES, st.binary(max_size=20))
 def test_malformed_records_of_the_ledger_are_skipped(kind, name, value, noise):
     for content in (encode(value), noise, b"q" + noise, b"d" + noise):
         apply_or_log(Ledger(), KeyedRecord(f"{kind}/{name}", content))
+        apply_or_log(Ledger(), KeyedRecord("l/load", content))
+
+
+@given(VALUES, VALUES, VALUES, VALUES)
+def test_load_reports_with_malformed_fields_are_skipped_or_hold_numbers(serial, at, waits, teams):
+    ledger = Ledger()
+    for fields in ([1, 1, serial, at, waits, teams], [1, 1, 1, 1.0, {"q": waits}, []]):
+        apply_or_log(ledger, KeyedRecord("l/load", encode(fields)))
+        report = ledger.load_report
+        if report is not None:
+            assert all(wait.within_s >= 0 <= wait.beyond_s for wait in report.waits.values())
 
 
 def test_registry_keeps_the_other_entries_beside_malformed_ones():
