--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -29,6 +29,7 @@
 )
 from .health import STALL_AVOID_S, mark_slow, record_end
 from .interface import EndedTask, EndReason, StartRefusal
+from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
 from .retention import DROP_INTERVAL_S, drop_old_jobs
@@ -70,6 +71,7 @@
         self.timers = [
             subscribe(SWEEP_INTERVAL_S, self._sweep),
             subscribe(DROP_INTERVAL_S, self._drop_old_jobs),
+            *start_load_reports(self.state),
         ]
         self.tasks = [
             asyncio.create_task(await_and_log_errors(self.commit.run())),
@@ -154,6 +156,8 @@
         work = open_job(job, progress)
         team = self.dependencies.get_configuration().teams.get(job.team)
         work.surplus = take_share_token(self.state.buckets, team, job)
+        if self.state.load_meter is not None:
+            self.state.load_meter.count_job(job, team)
         self.state.open_jobs[job.id] = work
         return work
 
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -13,6 +13,7 @@
 from .fleet import Fleet
 from .health import HealthTable
 from .interface import Configuration, KeyedLog, ListedVm, VmControl
+from .loadmeter import LoadMeter
 from .orders import OrderSender
 from .rank import TokenBucket
 from .work import JobWork
@@ -44,7 +45,7 @@
     """The tables and services of a term; ``lost`` is set once another term may have begun.
 
     Nothing new is decided once the leader is ``resigning``, because the term would end before the
-    orders could be sent.
+    orders could be sent. ``load_meter`` is ``None`` unless admission control is enabled.
     """
 
     dependencies: LeaderDependencies
@@ -59,6 +60,11 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
     resigning: bool = False
+    load_meter: LoadMeter | None = None
+
+    def __post_init__(self):
+        if self.dependencies.features.admission:
+            self.load_meter = LoadMeter()
 
 
 def is_registry_current(dependencies: LeaderDependencies) -> bool:
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -111,6 +111,8 @@
     )
     book_run(state.fleet, run)
     add_run(step, copy_step_attributes(step, run))
+    if state.load_meter is not None:
+        state.load_meter.count_start(step)
     if step.work.state is JobState.QUEUED:
         step.work.state = JobState.RUNNING
     wall_s = get_wall_s()
