Reject jobs that come too late to be of use, by the leader's load report

Cause: callers of jobs that can't be served within three times their objective learned it last, and their jobs waited in the log. Retry-After spreads the callers. Tail.catch_up_quickly reads without waiting for new records.

--- a/caroblead/node/appender.py
+++ b/caroblead/node/appender.py
@@ -99,6 +99,10 @@
                 self.waiting.remove(entry)
             return AppendResult.UNKNOWN if entry.sent else AppendResult.NOT_STORED
 
+    def is_pending(self, key: str) -> bool:
+        """Returns whether a record with this key is being appended or is about to be."""
+        return any(entry.record.key == key for entry in [*self.in_flight, *self.waiting])
+
     def give_up(self):
         """Ends all attempts with what is known about each record, so that its caller can be told.
 
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -22,6 +22,7 @@
     apply_record,
 )
 from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, encode_node, make_key
+from .admission import LoadControl
 from .appender import Appender, AppendResult
 from .configuration import ConfigurationView
 from .election import ELECTION_CHECK_INTERVAL_S, Election, find_strong, list_candidates
@@ -114,6 +115,7 @@
         self.notifier = CompletionNotifier(lambda: self.ledger, lambda: self.leader is not None)
         self.notifier.ask_leader = self._ask_leader
         self.peers.notifier = self.notifier
+        self.load_control = LoadControl() if settings.admission else None
         self.request_handler = RequestHandler(
             settings,
             configuration_view,
@@ -122,6 +124,8 @@
             self.appender,
             self.notifier,
             lambda: self.ledger,
+            self.load_control,
+            lambda: self.registry.vms,
         )
         self.leader: Leader | None = None
         self.leader_appends = 0
@@ -180,6 +184,8 @@
         change = apply_or_log(self.ledger, record)
         if record.kind == RecordKind.NODE:
             self._apply_node_record(record.name)
+        if record.kind == RecordKind.LOAD and self.load_control is not None:
+            self.load_control.observe(self.ledger.load_report)
         if isinstance(change, HeartbeatReceived | ProgressRecorded):
             self.election.handle_heartbeat()
             if isinstance(change, ProgressRecorded):
@@ -358,7 +364,10 @@
             gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
             gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
             gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
-        return write_node_metrics(self.metrics, gauges)
+        text = write_node_metrics(self.metrics, gauges)
+        if self.load_control is not None:
+            text += "\n".join(self.load_control.write_metrics()) + "\n"
+        return text
 
 
 async def _resign(leader: Leader, successor: str):
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -5,14 +5,17 @@
 is told that the outcome is unknown.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..core.clock import get_wall_s
 from ..core.logsink import log, log_routine
 from ..core.outcome import Fault, Reason, Step
+from ..dispatch.interface import ListedVm, find_service
 from ..jobs.data import FINAL_STATES, Job, JobQueue, JobSpec, JobState
 from ..jobs.ledger import Ledger, count_waiting, find_state
 from ..jobs.record import KeyedRecord, RecordKind, encode_job, make_key
+from .admission import LoadControl, Verdict, can_ever_run
 from .appender import Appender, AppendResult
 from .configuration import MAX_AGE_FRACTION, ConfigurationView, find_queue
 from .notifier import CompletionNotifier
@@ -30,6 +33,9 @@
 # A node whose last read of the configuration, which is read all the time, is older than this, and
 # whose appends fail, rejects jobs without trying to store them.
 LOG_LOST_AGE_S = 1.0
+# How long a job that would be rejected because of the load is searched for in the log. If the log
+# can't be read to its end by then, the job is accepted.
+REJECTION_LOOKUP_S = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,6 +98,8 @@
         appender: Appender,
         notifier: CompletionNotifier,
         get_ledger,
+        load_control: LoadControl | None = None,
+        get_vms: Callable[[], dict[str, ListedVm]] = dict,
     ):
         self.settings = settings
         self.configuration_view = configuration_view
@@ -100,6 +108,8 @@
         self.appender = appender
         self.notifier = notifier
         self.get_ledger = get_ledger
+        self.load_control = load_control
+        self.get_vms = get_vms
 
     def admit(self, host: str, path: str, key: str | None) -> Admission | Rejected:
         """Returns the queue of a request and the team of its key, or why it is rejected."""
@@ -146,6 +156,10 @@
                 )
             )
         job = Job(job_id, admission.team, admission.queue, spec, round(get_wall_s(), 3))
+        if self.load_control is not None:
+            answer = await self._judge_by_load(self.load_control, job, admission, budget_s)
+            if answer is not None:
+                return answer
         record = KeyedRecord(make_key(RecordKind.JOB, job_id), encode_job(job))
         result = await self.appender.append(record, max(0.1, budget_s - ANSWER_MARGIN_S))
         if result is AppendResult.STORED or find_state(self.get_ledger(), job_id) is not None:
@@ -155,8 +169,67 @@
             log("job:refused", job=job_id, queue=admission.queue.name, reason="log_down")
         else:
             log("job:in_doubt", job=job_id, queue=admission.queue.name)
+            if self.load_control is not None:
+                self.load_control.note_in_doubt(job_id)
         return self._explain_failure(result)
 
+    async def _judge_by_load(
+        self, control: LoadControl, job: Job, admission: Admission, budget_s: float
+    ) -> Accepted | Rejected | None:
+        """Returns the answer to a job that the load report rejects, or ``None`` to store the job.
+
+        The id may have been stored by an earlier attempt at another node, so a job is rejected only
+        once the log has been read up to its end as of now.
+        """
+        verdict = control.judge(job, self._get_term())
+        if verdict is None:
+            return None
+        key = make_key(RecordKind.JOB, job.id)
+        if control.is_in_doubt(job.id) or self.appender.is_pending(key):
+            return self._note_not_rejected(verdict, job, "an earlier attempt is not settled")
+        configuration = self.configuration_view.current
+        service = find_service(configuration, job.queue)
+        team = configuration.teams.get(job.team)
+        if not can_ever_run(job.spec, service, self.get_vms(), team):
+            return self._note_not_rejected(verdict, job, "it can't run with any load")
+        caught_up = await self.ledger_tail.catch_up_quickly(min(REJECTION_LOOKUP_S, budget_s))
+        if find_state(self.get_ledger(), job.id) is not None:
+            self._log_answer("job:accepted_before", job.id, admission)
+            return Accepted(known_before=True)
+        if not caught_up:
+            return self._note_not_rejected(verdict, job, "the log was not read in time")
+        # The report may have changed meanwhile, and another attempt may have begun here.
+        verdict = control.judge(job, self._get_term())
+        if verdict is None or control.is_in_doubt(job.id) or self.appender.is_pending(key):
+            return None
+        return self._reject_by_load(control, verdict, job)
+
+    def _get_term(self) -> int | None:
+        term = self.get_ledger().term
+        return term.number if term is not None else None
+
+    def _note_not_rejected(self, verdict: Verdict, job: Job, detail: str) -> None:
+        log_routine("job:not_rejected", job=job.id, queue=verdict.queue, detail=detail)
+
+    def _reject_by_load(self, control: LoadControl, verdict: Verdict, job: Job) -> Rejected:
+        retry_s = control.reject(verdict, len(self.get_ledger().nodes))
+        log_routine(
+            "job:rejected",
+            job=job.id,
+            queue=verdict.queue,
+            team=job.team,
+            over_share=verdict.over_share,
+            wait_s=verdict.wait_s,
+            useful_s=round(verdict.useful_s, 3),
+            term=verdict.term,
+            serial=verdict.serial,
+            age_s=verdict.age_s,
+            retry_s=round(retry_s, 1),
+        )
+        share = "beyond" if verdict.over_share else "within"
+        detail = f"a job {share} the team's share would wait {verdict.wait_s:.1f} s"
+        return Rejected(self._make_fault(Reason.QUEUE_FULL, Step.ADMIT, detail, retry_s))
+
     def _log_answer(self, kind: str, job_id: str, admission: Admission):
         log_routine(
             kind,
--- a/caroblead/node/tail.py
+++ b/caroblead/node/tail.py
@@ -24,7 +24,7 @@
 
     ``answered_s`` is when the last answer arrived, ``caught_up`` tells whether that read reached
     the end of the log, and ``current_s`` is when the last read that did so was sent. ``lost`` is
-    set while reads fail.
+    set while reads fail. While callers are ``hurried``, reads don't wait for new records.
     """
 
     def __init__(
@@ -48,6 +48,7 @@
         self.read_now = asyncio.Event()
         self.pausing = False
         self.answered = asyncio.Event()
+        self.hurried = 0
 
     async def run(self):
         """Reads until it is cancelled; an unexpected error in one read doesn't end the others."""
@@ -73,7 +74,7 @@
             batch = await self.log.read_newest()
             complete = True
         else:
-            batch = await self.log.read(self.offset, self.wait_s)
+            batch = await self.log.read(self.offset, 0.0 if self.hurried else self.wait_s)
             complete = False
         if self.lost:
             self.lost = False
@@ -132,6 +133,17 @@
                 return False
         return True
 
+    async def catch_up_quickly(self, timeout_s: float) -> bool:
+        """Does the same as :meth:`catch_up`, by reads that return at once if nothing is new.
+
+        This costs more reads, so it is for callers with little time.
+        """
+        self.hurried += 1
+        try:
+            return await self.catch_up(timeout_s)
+        finally:
+            self.hurried -= 1
+
     def get_age_s(self) -> float:
         """Returns the age of this node's copy of the log.
 
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -55,7 +55,8 @@
 
     ``caller_records`` records what callers requested and which responses they got.
     ``faults_by_node`` holds the injected faults of each node, by its name. ``draining_s`` is the
-    loop time at which the registry first showed a VM as draining.
+    loop time at which the registry first showed a VM as draining. ``options`` are further settings
+    of the nodes, and ``teams`` are added to the configuration.
     """
 
     vm_simulator: VmSimulator
@@ -69,6 +70,8 @@
     ids: itertools.count = field(default_factory=lambda: itertools.count(1))
     seeds: itertools.count = field(default_factory=lambda: itertools.count(1))
     cap: Resources = Resources()
+    options: dict[str, object] = field(default_factory=dict)
+    teams: dict[str, TeamLimits] = field(default_factory=dict)
 
 
 def make_listed_vm(
@@ -116,13 +119,16 @@
     call_later(down_s + REGISTER_DELAY_S, put_vm_entry, site, listed)
 
 
-async def start_site(vm_count: int = 4, node_count: int = 3, cap: Resources | None = None) -> Site:
+async def start_site(
+    vm_count: int = 4, node_count: int = 3, cap: Resources | None = None, **options
+) -> Site:
     """Starts nodes, VMs and a store and waits until a leader is elected."""
     caller_records = CallerRecords()
     site = Site(
         VmSimulator(make_behavior_lookup(caller_records.jobs)),
         caller_records=caller_records,
         cap=cap or Resources(),
+        options=options,
     )
     site.vm_simulator.on_crashed = partial(show_crash_in_registry, site)
     publish_config(site, 1)
@@ -147,6 +153,7 @@
         peer_port=0,
         store="127.0.0.1:1",
         core_share=strength,
+        **site.options,
     )
     adapters = NodeAdapters(
         MemoryLog(site.ledger, caller_faults),
@@ -157,7 +164,7 @@
     )
 
     def decode_config(value: bytes) -> Configuration:
-        teams = {"north": TeamLimits("north", 1, site.cap)}
+        teams = {"north": TeamLimits("north", 1, site.cap), **site.teams}
         return Configuration(int(value), dict(QUEUES), teams, {KEY: "north"})
 
     def decode_vm(name: str, value: bytes) -> ListedVm:
