--- a/caroblead/dispatch/learning_test.py
+++ b/caroblead/dispatch/learning_test.py
@@ -50,7 +50,7 @@
 
 def test_leader_learns_how_long_runs_take():
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit_jobs(site)
         await asyncio.sleep(3.0)
         assert get_expected_s(site) == pytest.approx(WORK_S, rel=0.15)
@@ -92,7 +92,7 @@
     """Guards against a leader killed between the records of a snapshot."""
 
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit_jobs(site, 40)
         names = {record.name for record in list_learned(site)}
         assert names == {QUEUES, TEAMS, SPEEDS}
@@ -112,7 +112,7 @@
     """Guards against a term that ends while a snapshot is written."""
 
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit_jobs(site, 20)
         before, learning = len(list_learned(site)), get_learning(site)
         # The append takes effect, but the leader hears nothing of it and loses its term.
@@ -143,7 +143,7 @@
     monkeypatch.setattr("caroblead.dispatch.speedwatch.observe_progress", fail)
 
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit_jobs(site, 5)
         await asyncio.sleep(4.0)
         ledger = site.nodes["n0"].ledger
@@ -164,7 +164,7 @@
     )
 
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await kill_node(site, find_leader(site))
         for name in (QUEUES, TEAMS, SPEEDS):
             site.ledger.append([KeyedRecord(make_key(RecordKind.LEARNED, name), value)], None)
@@ -186,7 +186,7 @@
     """Guards against load on the log by records that all nodes read."""
 
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         started_s = asyncio.get_running_loop().time()
         await submit_jobs(site, 60, gap_s=0.1)
         elapsed_s = asyncio.get_running_loop().time() - started_s
@@ -198,7 +198,7 @@
 
 def test_runs_resumed_from_a_checkpoint_and_lasting_runs_tell_nothing():
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit(site, "n0", make_spec(make_step(1, endless=True), seconds=1.0))
         await submit(site, "n0", make_spec(make_step(1, fills=True), seconds=1.0))
         await asyncio.sleep(5.0)
@@ -212,7 +212,7 @@
     """Guards against knowing of a slow VM only after its runs, four times as long, have ended."""
 
     async def scenario():
-        site = await start_site(vm_count=3, settings=LEARNED)
+        site = await start_site(vm_count=3, **LEARNED)
         for _ in range(3):
             await submit_jobs(site, 4, seconds=12.0, gap_s=0.1)
         await asyncio.sleep(4.0)
@@ -237,7 +237,7 @@
 
 def test_slow_vm_is_known_from_the_ends_of_its_runs():
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit_jobs(site, 10, gap_s=0.2)
         site.vm_simulator.set_speed("vm-0", 0.25)
         await submit_jobs(site, 25, gap_s=0.2)
@@ -251,7 +251,7 @@
 
 def test_restarted_vm_counts_as_normal_again():
     async def scenario():
-        site = await start_site(settings=LEARNED)
+        site = await start_site(**LEARNED)
         await submit_jobs(site)
         await asyncio.sleep(3.0)
         leader = site.nodes[find_leader(site)].leader
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -15,6 +15,7 @@
 from .fleet import Fleet
 from .health import HealthTable
 from .interface import Configuration, KeyedLog, ListedVm, VmControl
+from .loadmeter import LoadMeter
 from .orders import OrderSender
 from .rank import TokenBucket
 from .work import JobWork
@@ -47,7 +48,8 @@
     """The tables and services of a term; ``lost`` is set once another term may have begun.
 
     Nothing new is decided once the leader is ``resigning``, because the term would end before the
-    orders could be sent. ``on_steps_opened`` is called with a job of which steps have become due.
+    orders could be sent. ``on_steps_opened`` is called with a job of which steps have become due,
+    and ``load_meter`` is ``None`` unless admission control is enabled.
     """
 
     dependencies: LeaderDependencies
@@ -65,6 +67,11 @@
     lost: bool = False
     resigning: bool = False
     on_steps_opened: Callable[[JobWork], None] = lambda work: None
+    load_meter: LoadMeter | None = None
+
+    def __post_init__(self):
+        if self.dependencies.features.admission:
+            self.load_meter = LoadMeter()
 
 
 def is_registry_current(dependencies: LeaderDependencies) -> bool:
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -9,10 +9,12 @@
 from .data import FINAL_STATES, Job, JobState
 from .record import (
     KeyedRecord,
+    LoadReport,
     NodeRecord,
     RecordKind,
     Term,
     decode_job,
+    decode_load_report,
     decode_node,
     decode_term,
     read_final_time,
@@ -64,6 +66,7 @@
 
     ``ended`` holds the final state of jobs whose specification has been dropped. ``learned`` holds
     what leaders learned of durations and speeds, as read, for the next leader to decode.
+    ``load_report`` is the leader's last load report, or ``None`` if that can't be decoded.
     """
 
     jobs: dict[str, StoredJob] = field(default_factory=dict)
@@ -74,6 +77,7 @@
     term: Term | None = None
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     learned: dict[str, bytes] = field(default_factory=dict)
+    load_report: LoadReport | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,7 +110,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HeartbeatReceived:
-    """The leader recorded a heartbeat."""
+    """The leader recorded a heartbeat, or a load report, which is as good a sign of it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -123,6 +127,7 @@
 
 HEARTBEAT_NAME = "leader"
 RESIGNATION_NAME = "resigned"
+LOAD_REPORT_NAME = "load"
 
 
 def apply_record(ledger: Ledger, record: KeyedRecord) -> Change | None:
@@ -141,6 +146,11 @@
         if record.name != RESIGNATION_NAME:
             return HeartbeatReceived()
         return _apply_resignation(ledger, record)
+    if record.kind == RecordKind.LOAD and record.name == LOAD_REPORT_NAME:
+        # A report that can't be decoded also ends the effect of the one before.
+        ledger.load_report = None
+        ledger.load_report = decode_load_report(record.value)
+        return HeartbeatReceived()
     if record.kind == RecordKind.TERM and record.value:
         term = decode_term(record.value)
         if ledger.term is not None and term.number <= ledger.term.number:
--- a/caroblead/node/tail.py
+++ b/caroblead/node/tail.py
@@ -24,8 +24,8 @@
 
     ``answered_s`` is when the last answer arrived, ``caught_up`` tells whether that read reached
     the end of the log, and ``current_s`` is when the last read that did so was sent. ``lost`` is
-    set while reads fail. While ``current_s`` is before ``needed_s``, reads don't wait for new
-    records.
+    set while reads fail. While ``current_s`` is before ``needed_s`` or callers are ``hurried``,
+    reads don't wait for new records.
     """
 
     def __init__(
@@ -50,6 +50,7 @@
         self.read_now = asyncio.Event()
         self.pausing = False
         self.answered = asyncio.Event()
+        self.hurried = 0
 
     async def run(self):
         """Reads until it is cancelled; an unexpected error in one read doesn't end the others."""
@@ -75,8 +76,8 @@
             batch = await self.log.read_newest()
             complete = True
         else:
-            wait_s = self.wait_s if self.current_s >= self.needed_s else 0.0
-            batch = await self.log.read(self.offset, wait_s)
+            needs_news = self.hurried or self.current_s < self.needed_s
+            batch = await self.log.read(self.offset, 0.0 if needs_news else self.wait_s)
             complete = False
         if self.lost:
             self.lost = False
@@ -135,6 +136,17 @@
                 return False
         return True
 
+    async def catch_up_quickly(self, timeout_s: float) -> bool:
+        """Does the same as :meth:`catch_up`, by reads that return at once if nothing is new.
+
+        This costs more reads, so it is for callers with little time.
+        """
+        self.hurried += 1
+        try:
+            return await self.catch_up(timeout_s)
+        finally:
+            self.hurried -= 1
+
     def get_age_s(self) -> float:
         """Returns the age of this node's copy of the log.
 
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -59,7 +59,8 @@
     ``faults_by_node`` holds the injected faults of each node, by its name. ``draining_s`` is the
     loop time at which the registry first showed a VM as draining. The VMs are spread over the
     ``zones``, and the nodes evacuate zones if ``evacuation_ms`` isn't 0. ``settings`` are the
-    settings of all nodes that differ from the defaults.
+    settings of all nodes that differ from the defaults, and
+    ``teams`` are added to the configuration.
     """
 
     vm_simulator: VmSimulator
@@ -77,6 +78,7 @@
     evacuation_ms: float = 0
     settings: dict[str, object] = field(default_factory=dict)
     evacuations: list[Evacuation] = field(default_factory=list)
+    teams: dict[str, TeamLimits] = field(default_factory=dict)
 
 
 def make_listed_vm(
@@ -178,11 +180,11 @@
     cap: Resources | None = None,
     zones: tuple[str, ...] = ("a",),
     evacuation_ms: float = 0,
-    settings: dict[str, object] | None = None,
+    **settings,
 ) -> Site:
     """Starts nodes, VMs and a store and waits until a leader is elected.
 
-    The zones are given to the VMs in turn.
+    The zones are given to the VMs in turn, and ``settings`` to all nodes.
     """
     caller_records = CallerRecords()
     site = Site(
@@ -191,7 +193,7 @@
         cap=cap or Resources(),
         zones=zones,
         evacuation_ms=evacuation_ms,
-        settings=settings or {},
+        settings=settings,
     )
     site.vm_simulator.on_crashed = partial(show_crash_in_registry, site)
     publish_config(site, 1)
@@ -229,7 +231,7 @@
     )
 
     def decode_config(value: bytes) -> Configuration:
-        teams = {"north": TeamLimits("north", 1, site.cap)}
+        teams = {"north": TeamLimits("north", 1, site.cap), **site.teams}
         return Configuration(int(value), dict(QUEUES), teams, {KEY: "north"})
 
     def decode_vm(name: str, value: bytes) -> ListedVm:
