Backfill VMs reserved for gangs and bound evictions, behind a switch

Cause: VMs reserved for a gang stay idle until its last VM has room, while short work waits beside them; and evictions stopped work that then missed its objective, more than once.

Change, with the setting backfill only: work that ends by the high quantile of its duration before the gang can start by a low quantile of the runs it waits for may use these VMs; it is evicted if the gang could start but for it. A run is evicted only if its job can still be in time or is of no use any more, once by each leader, and if less is lost than gained. Line task:backfilled, gauge caroblead_runs_backfilled_total. The speed of VMs isn't considered yet.

--- a/caroblead/dispatch/eviction.py
+++ b/caroblead/dispatch/eviction.py
@@ -4,6 +4,7 @@
 with checkpoints loses what it did since the last one, any other run loses all that it has done.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..core.resource import Resources, add, fits, subtract
@@ -28,6 +29,14 @@
     task_count: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class EvictionBounds:
+    """Further conditions of an eviction: which runs may be evicted, and the loss for each task."""
+
+    may_evict: Callable[[Run], bool]
+    max_loss_per_task: float
+
+
 def count_fit(need: Resources, free: Resources) -> int:
     """Returns how many tasks of this need fit into the free resources.
 
@@ -57,7 +66,12 @@
 
 
 def choose_evictions(
-    step: StepWork, candidates: list[VmRow], free: dict[str, Resources], missing: int, now_s: float
+    step: StepWork,
+    candidates: list[VmRow],
+    free: dict[str, Resources],
+    missing: int,
+    now_s: float,
+    bounds: EvictionBounds | None = None,
 ) -> Evictions | None:
     """Returns the runs to stop so that the missing tasks of a step find room, or ``None``.
 
@@ -68,16 +82,20 @@
     priority = step.work.job.queue.priority
     found = Evictions()
     options = []
-    limit = _limit_per_vm(step, missing)
+    limit = limit_per_vm(step, missing)
+    max_loss = MAX_LOSS_PER_TASK * max(1.0, need.millicores / 1000)
+    if bounds is not None:
+        max_loss = min(max_loss, bounds.max_loss_per_task)
     for row in candidates:
-        option = _evaluate_vm(row, free[row.name], need, priority, limit, now_s)
+        victims = _list_victims(row, priority, bounds)
+        option = _evaluate_vm(row, free[row.name], need, victims, limit, now_s)
         if option is not None:
             options.append(option)
     options.sort(key=lambda option: (option[0] / option[1], option[3].name))
     for loss, task_count, runs, row in options:
         if found.task_count >= missing:
             break
-        if loss / task_count > MAX_LOSS_PER_TASK * max(1.0, need.millicores / 1000):
+        if loss / task_count > max_loss:
             continue
         found.runs += runs
         found.rows.append(row)
@@ -87,21 +105,28 @@
     return found
 
 
-def _limit_per_vm(step: StepWork, missing: int) -> int:
+def limit_per_vm(step: StepWork, missing: int) -> int:
     """Returns how many of the missing tasks of a step may start on one VM."""
     return min(missing, step.spec.max_per_vm or missing)
 
 
-def _evaluate_vm(row: VmRow, free: Resources, need: Resources, priority: int, limit: int, now_s):
-    """Returns the loss, the number of tasks, the runs to stop and the VM; ``None`` if none fit."""
-    victims = [
+def _list_victims(row: VmRow, priority: int, bounds: EvictionBounds | None) -> list[Run]:
+    """Returns the runs of a VM that may be stopped for work of this priority."""
+    return [
         run
         for run in row.runs.values()
         if run.evictable
         and run.wanted
         and run.phase is RunPhase.RUNNING
         and run.priority > priority
+        and (bounds is None or bounds.may_evict(run))
     ]
+
+
+def _evaluate_vm(
+    row: VmRow, free: Resources, need: Resources, victims: list[Run], limit: int, now_s: float
+):
+    """Returns the loss, the number of tasks, the runs to stop and the VM; ``None`` if none fit."""
     victims.sort(key=lambda run: compute_loss(run, now_s) / max(1, run.need.millicores))
     task_count, loss, taken = min(limit, count_fit(need, free)), 0.0, []
     best = (0.0, task_count, [], row) if task_count else None
@@ -127,7 +152,7 @@
     but for the endless ones.
     """
     need = get_booked_need(step.spec)
-    limit = _limit_per_vm(step, missing)
+    limit = limit_per_vm(step, missing)
     counts = {row.name: min(limit, count_fit(need, _compute_final_room(row))) for row in candidates}
     fitting = [row for row in candidates if counts[row.name]]
     fitting.sort(key=lambda row: (-free[row.name].millicores, row.name))
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -65,10 +65,14 @@
     work, and one that ``has_checkpoints`` then resumes from the last one. A run that
     ``expects_progress`` counts as stalled when it shows none: its progress became ``percent``
     at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
-    off. A run of a former term has no ``started_s``. It is expected to end ``high_s`` after its
-    start at the latest, but for one run in ten. ``need`` is what it books on its VM, and
+    off. A run of a former term has no ``started_s``. ``need`` is what it books on its VM, and
     ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
+    It is expected to end between ``low_s`` and ``high_s`` after its start, in eight cases of ten.
+    Run anew, it and the steps after it take ``rest_s``. Its job is due at ``due_s``, which is
+    ``target_s`` after it was accepted. A run that ``backfills`` is on a VM that was reserved for
+    that step.
+
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
     other runs of a VM leave free, works at ``pace`` percent of its speed; the pace of a run of a
     former term is not known.
@@ -95,6 +99,10 @@
     expects_progress: bool = False
     estimate_s: float = 0.0
     high_s: float = 0.0
+    low_s: float = 0.0
+    rest_s: float = 0.0
+    due_s: float = 0.0
+    target_s: float = 0.0
     checkpoint: str = ""
     priority: int = 0
     evictable: bool = False
@@ -106,6 +114,7 @@
     charge: Resources | None = None
     incarnation: int = 0
     isolation: Isolation = Isolation.NONE
+    backfills: StepKey | None = None
 
     def get_charge(self) -> Resources:
         """Returns the resources that count toward the quota of the team."""
@@ -169,7 +178,8 @@
 class Fleet:
     """All VMs, the resources that each team uses, the reservations, and when this term began.
 
-    ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use.
+    ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use,
+    and ``backfilled_runs`` the runs started on VMs that were reserved for another step.
     """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
@@ -178,6 +188,7 @@
     lease_s: float = 8.0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
     lapsed_holds: int = 0
+    backfilled_runs: int = 0
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
--- a/caroblead/dispatch/makeroom.py
+++ b/caroblead/dispatch/makeroom.py
@@ -1,6 +1,7 @@
 """Makes room for a step that finds none: evicts less urgent runs, or reserves VMs for a gang."""
 
 from ..core.resource import NOTHING
+from .backfill import choose_bounded_evictions, evict_backfilled
 from .eviction import choose_evictions, choose_vms_to_reserve, count_fit
 from .fleet import VmRow
 from .rank import Tier
@@ -39,9 +40,7 @@
     step.next_search_s = state.now_s + SEARCH_GAP_S
     chosen = None
     if rank[0] <= Tier.IN_TIME and state.evictions_left > 0:
-        chosen = choose_evictions(
-            step, candidates, state.free, min(missing, allowance), state.now_s
-        )
+        chosen = _choose_evictions(state, step, candidates, min(missing, allowance))
     if chosen and len(chosen.runs) <= state.evictions_left:
         state.evictions_left -= len(chosen.runs)
         state.plan.evictions += chosen.runs
@@ -64,10 +63,17 @@
         return False
     need = get_booked_need(step.spec)
     lacking = frozenset(row.name for row in kept if not count_fit(need, state.free[row.name]))
-    keep_vms(state.reservations, step, lacking)
+    if keep_vms(state.reservations, step, lacking) and state.features.backfill:
+        evict_backfilled(state, step, kept, missing)
     return True
 
 
+def _choose_evictions(state: PlanningState, step: StepWork, candidates, missing: int):
+    if state.features.backfill:
+        return choose_bounded_evictions(state, step, candidates, missing)
+    return choose_evictions(step, candidates, state.free, missing, state.now_s)
+
+
 def list_open_for(step: StepWork, candidates, chosen) -> list[VmRow]:
     """Returns the candidates that may take one more task of a step, if they get room."""
     limit = step.spec.max_per_vm
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -6,6 +6,8 @@
 """
 
 from ..core.resource import NOTHING
+from ..jobs.data import StepKey
+from .backfill import list_backfillable
 from .features import Features
 from .fleet import Fleet, VmRow, is_usable
 from .interface import Configuration, find_service
@@ -65,7 +67,17 @@
     isolation = IsolationState(fleet, free, reservations, now_s)
     used = dict(fleet.used)
     state = PlanningState(
-        fleet, now_s, free, used, rows, reservations, isolation, slow=slow, features=features
+        fleet,
+        now_s,
+        free,
+        used,
+        rows,
+        reservations,
+        isolation,
+        slow=slow,
+        features=features,
+        wall_s=wall_s,
+        steps={step.key: step for step in steps},
     )
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
@@ -84,7 +96,9 @@
     fitting = may_fit(state, pool, need)
     if not fitting and not may_make_room(state, step):
         return
-    candidates = list_candidates(state, pool, step)
+    blocked = state.reservations.list_blocked_for(step.key)
+    backfillable = list_backfillable(state, step, blocked)
+    candidates = list_candidates(state, pool, step, backfillable)
     chosen = _place_step(step, candidates, state, team) if fitting else []
     if not chosen:
         pool.misses += 1
@@ -106,6 +120,8 @@
     missing = len(step.waiting) - len(chosen)
     if step.step_progress.crashes:
         missing -= hold_back(state.isolation, step, rank, chosen, candidates)
+    if backfillable:
+        candidates = [row for row in candidates if row.name not in backfillable]
     if missing and candidates:
         open_rows = list_open_for(step, candidates, chosen)
         make_room(state, step, rank, open_rows, team, missing)
@@ -123,12 +139,21 @@
         if step.step_progress.crashes:
             note_placement(state.isolation, step, index, row)
         ticket = step.advice.tickets.get(row.name, "")
-        state.plan.placements.append(Placement(step, index, row, ticket))
+        backfills = _find_backfilled(state, step, row)
+        state.plan.placements.append(Placement(step, index, row, ticket, backfills))
     if chosen and len(chosen) == len(step.waiting):
         state.reservations.release(step.key)
         step.hold = Hold()
 
 
+def _find_backfilled(state: PlanningState, step: StepWork, row: VmRow) -> StepKey | None:
+    """Returns the step for which a VM is blocked, if a task of another step is placed there."""
+    if row.name not in state.reservations.blocked:
+        return None
+    holder = state.reservations.by_vm[row.name].step
+    return holder if holder != step.key else None
+
+
 def _place_step(step: StepWork, candidates, state: PlanningState, team) -> list[tuple[int, VmRow]]:
     need = get_booked_need(step.spec)
     has_crashed = bool(step.step_progress.crashes)
--- a/caroblead/dispatch/reservation.py
+++ b/caroblead/dispatch/reservation.py
@@ -85,7 +85,7 @@
 
     def extend(self, step: StepKey):
         """Extends the reservations of a step at their old rank, so that a late gang keeps them."""
-        for name in self._list_vms(step):
+        for name in self.list_vms(step):
             found = self.by_vm[name]
             until_s = max(found.until_s, self.now_s + RESERVATION_EXTENSION_S)
             self.by_vm[name] = Reservation(step, found.rank, until_s)
@@ -94,11 +94,12 @@
         """Ends the reservations of a step that has been placed."""
         if not self.counts.pop(step, 0):
             return
-        for name in self._list_vms(step):
+        for name in self.list_vms(step):
             del self.by_vm[name]
             self.blocked.discard(name)
 
-    def _list_vms(self, step: StepKey) -> list[str]:
+    def list_vms(self, step: StepKey) -> list[str]:
+        """Returns the names of the VMs that are reserved for a step."""
         return [name for name, found in self.by_vm.items() if found.step == step]
 
 
--- a/caroblead/dispatch/room.py
+++ b/caroblead/dispatch/room.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..core.resource import NOTHING, Resources, add, fits, subtract
+from ..jobs.data import StepKey
 from .features import Features
 from .fleet import Fleet, Run, VmRow
 from .interface import TeamLimits
@@ -24,12 +25,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Placement:
-    """A task and the VM on which it should run."""
+    """A task and the VM on which it should run; ``backfills`` is the step that the VM waits for."""
 
     step: StepWork
     index: int
     vm: VmRow
     ticket: str
+    backfills: StepKey | None = None
 
 
 @dataclass(slots=True)
@@ -62,7 +64,8 @@
 class PlanningState:
     """The working state of a tick: the tables, the time, and what is left once the plan is done.
 
-    ``free`` and ``used`` already include the placements of the plan.
+    ``free`` and ``used`` already include the placements of the plan. ``steps`` are all steps of the
+    tick, and ``earliest_starts`` is when gangs may have room on their VMs, as far as known.
     """
 
     fleet: Fleet
@@ -75,6 +78,9 @@
     plan: Plan = field(default_factory=Plan)
     slow: frozenset[str] | set[str] = frozenset()
     features: Features = Features()
+    wall_s: float = 0.0
+    steps: dict[StepKey, StepWork] = field(default_factory=dict)
+    earliest_starts: dict[StepKey, float] = field(default_factory=dict)
     evictions_left: int = MAX_EVICTIONS_PER_TICK
     searches_left: int = MAX_SEARCHES_PER_TICK
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
@@ -111,9 +117,13 @@
     return fits(need, pool.max_free)
 
 
-def list_candidates(state: PlanningState, pool: Pool, step: StepWork) -> list[VmRow]:
+def list_candidates(
+    state: PlanningState, pool: Pool, step: StepWork, backfillable: set[str]
+) -> list[VmRow]:
     """Returns the VMs that a step may use, whether they have room or not."""
     blocked = state.reservations.list_blocked_for(step.key)
+    if backfillable:
+        blocked = blocked - backfillable
     if step.work.job.queue.advice is None:
         return [row for name, row in pool.rows.items() if name not in blocked]
     # Sorted because sets are unordered and the same tables must give the same plan.
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -71,6 +71,8 @@
     for run in plan.evictions:
         log_routine("task:evicted", task=str(run.task), run=run.number, vm=run.vm.name)
         state.order_sender.stop(run)
+        if features.backfill:
+            _note_eviction(state, run)
     for step in plan.lapsed:
         state.fleet.lapsed_holds += 1
         log("reservation:lapsed", step=str(step.key), lapses=step.hold.lapses)
@@ -80,6 +82,14 @@
         state.order_sender.spawn(await_and_log_errors(_ask_advice(state, step, service)))
 
 
+def _note_eviction(state: TermState, run: Run):
+    """Remembers that a task has been evicted, so that it isn't evicted again."""
+    work = state.open_jobs.get(run.task.job)
+    step = work and work.steps.get((run.task.occurrence, run.task.step))
+    if step is not None:
+        step.evicted.add(run.task.index)
+
+
 def _start_placements(state: TermState, placements: list[Placement], now_s: float):
     starts: list[tuple[StepWork, list[Run]]] = []
     gangs: dict[StepKey, list[Run]] = {}
@@ -112,7 +122,9 @@
         checkpoint=step.step_progress.checkpoints.get(placement.index, ""),
         incarnation=row.incarnation,
         isolation=judge_isolation(step, placement.index),
+        backfills=placement.backfills,
     )
+    state.fleet.backfilled_runs += placement.backfills is not None
     book_run(state.fleet, run)
     add_run(step, copy_step_attributes(step, run))
     if step.work.state is JobState.QUEUED:
@@ -128,6 +140,9 @@
         surplus=step.work.surplus,
         heard_s=round(now_s - row.heard_s, 3),
     )
+    if run.backfills is not None:
+        gang = str(run.backfills)
+        log_routine("task:backfilled", task=str(run.task), run=run.number, vm=row.name, gang=gang)
     return run
 
 
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -53,7 +53,8 @@
     task index. The step may search for runs to evict or VMs to reserve from ``next_search_s`` on.
     ``wait_for_vm_s`` is since when a task to be run alone has waited for an empty VM, by index.
     ``expectation`` is how long a run is expected to take; ``None`` stands for the estimate.
-    ``hold`` is about the VMs that are reserved for it.
+    ``hold`` is about the VMs that are reserved for it. Tasks in ``evicted`` have been evicted once
+    by this leader, which doesn't do it again.
     """
 
     key: StepKey
@@ -67,6 +68,7 @@
     wait_for_vm_s: dict[int, float] = field(default_factory=dict)
     expectation: Expectation | None = None
     hold: Hold = field(default_factory=Hold)
+    evicted: set[int] = field(default_factory=set)
 
     def make_task_name(self, index: int) -> TaskName:
         """Returns the name of the task with this index."""
@@ -186,14 +188,31 @@
     run.priority = step.work.job.queue.priority
     run.has_checkpoints = spec.checkpoints
     run.estimate_s = spec.estimate_s
-    run.high_s = get_expectation(step).high_s
+    expectation = get_expectation(step)
+    run.high_s = expectation.high_s
+    run.low_s = expectation.median_s**2 / expectation.high_s if expectation.high_s else 0.0
+    run.rest_s = expectation.high_s + compute_chain_after_s(step)
+    run.due_s, run.target_s = step.work.due_s, step.work.target_s
     run.expects_progress = not (spec.endless or spec.fills)
     run.endless = spec.endless
     run.target_ms, run.fills = spec.target_ms, spec.fills
     run.evictable = not (spec.gang or spec.endless or spec.miss_tolerance)
+    run.evictable = run.evictable and run.task.index not in step.evicted
     return run
 
 
+def compute_chain_after_s(step: StepWork) -> float:
+    """Returns the estimate of the longest chain of steps that wait for this one, in seconds."""
+    steps = step.work.job.spec.steps
+    lengths = [0.0] * len(steps)
+    for number in reversed(range(len(steps))):
+        for before in steps[number].after:
+            if before < number:
+                length = lengths[number] + steps[number].estimate_s
+                lengths[before] = max(lengths[before], length)
+    return lengths[step.key.step]
+
+
 def remove_run(step: StepWork, run: Run):
     """Removes a run that has ended; its task waits again unless it is done or has another run."""
     index = run.task.index
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -358,6 +358,7 @@
             gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
             gauges["vms_reserved"] = float(len(leader.fleet.reservations))
             gauges["reservations_lapsed_total"] = float(leader.fleet.lapsed_holds)
+            gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
             gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
             gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
         return write_node_metrics(self.metrics, gauges)
