--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -68,10 +68,14 @@
     at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
     off. A run of a former term has no ``started_s``, and ``began_s`` is when the VM confirmed the
     start in this one. ``resumed`` tells whether it began from a checkpoint. ``expected_s`` is its
-    expected work as learned, 0 if only the estimate is known. It is expected to end ``high_s``
-    after its start at the latest, but for one run in ten. ``need`` is what it books on its VM, and
+    expected work as learned, 0 if only the estimate is known. ``need`` is what it books on its VM, and
     ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
+    It is expected to end between ``low_s`` and ``high_s`` after its start, in eight cases of ten.
+    Run anew, it and the steps after it take ``rest_s``. Its job is due at ``due_s``, which is
+    ``target_s`` after it was accepted. A run that ``backfills`` is on a VM that was reserved for
+    that step.
+
     A run with a latency objective has a ``target_ms``. One that ``fills``, that is, uses what the
     other runs of a VM leave free, works at ``pace`` percent of its speed; the pace of a run of a
     former term is not known.
@@ -101,6 +105,10 @@
     expects_progress: bool = False
     estimate_s: float = 0.0
     high_s: float = 0.0
+    low_s: float = 0.0
+    rest_s: float = 0.0
+    due_s: float = 0.0
+    target_s: float = 0.0
     checkpoint: str = ""
     priority: int = 0
     evictable: bool = False
@@ -112,6 +120,7 @@
     charge: Resources | None = None
     incarnation: int = 0
     isolation: Isolation = Isolation.NONE
+    backfills: StepKey | None = None
 
     def get_charge(self) -> Resources:
         """Returns the resources that count toward the quota of the team."""
@@ -178,8 +187,9 @@
 
     No task starts in the ``evacuated_zones``, and no start order sent now may be carried out later
     than ``start_until_s``. ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not
-    learned. ``lapsed_holds`` counts how often a step has had to give up reservations that it
-    couldn't use.
+    learned.
+    ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use,
+    and ``backfilled_runs`` the runs started on VMs that were reserved for another step.
     """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
@@ -191,6 +201,7 @@
     start_until_s: float = float("inf")
     speeds: SpeedTable | None = None
     lapsed_holds: int = 0
+    backfilled_runs: int = 0
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -381,6 +381,7 @@
             gauges["open_orders_limit"] = leader.order_sender.window.size
             gauges["vms_reserved"] = float(len(leader.fleet.reservations))
             gauges["reservations_lapsed_total"] = float(leader.fleet.lapsed_holds)
+            gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
             gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
             gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
             gauges.update(leader.learning.list_gauges())
