Place work by the learned speed of VMs, behind learned_durations

A job with a tight objective was late on a slow VM while work with slack filled the fast ones. The speed of a VM now adds to its score for best fit: work that requires speed goes to fast VMs, work with slack to slow ones, and a gang to VMs of similar speed.

--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -34,6 +34,7 @@
     may_fit_elsewhere,
 )
 from .score import choose_rack, count_slots
+from .speedscore import choose_similar, find_required_speed, list_log_speeds
 from .work import Hold, StepWork, get_booked_need
 
 # A ticket is not used this close to its expiry, since the order takes time to reach the VM.
@@ -67,6 +68,9 @@
     state = PlanningState(
         fleet, now_s, free, used, rows, reservations, isolation, slow=slow, features=features
     )
+    state.wall_s = wall_s
+    if features.learned_durations:
+        state.log_speeds = list_log_speeds(rows)
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
         reservations.block_until(rank)
@@ -148,6 +152,9 @@
         slots = keep_gang_slots(state.isolation, step, slots)
     if step.spec.gang and step.spec.same_rack:
         slots = choose_rack(slots, len(indexes)) or slots
+    if step.spec.gang and state.features.learned_durations:
+        required = find_required_speed(step, state.wall_s)
+        slots = choose_similar(slots, len(indexes), required, state.log_speeds)
     if step.spec.gang and sum(count for count, _, _ in slots) < len(indexes):
         return []
     return fill_slots(indexes, slots)
--- a/caroblead/dispatch/room.py
+++ b/caroblead/dispatch/room.py
@@ -62,7 +62,8 @@
 class PlanningState:
     """The working state of a tick: the tables, the time, and what is left once the plan is done.
 
-    ``free`` and ``used`` already include the placements of the plan.
+    ``free`` and ``used`` already include the placements of the plan. ``log_speeds`` holds the
+    logarithms of the speeds of the VMs if they are learned.
     """
 
     fleet: Fleet
@@ -75,6 +76,8 @@
     plan: Plan = field(default_factory=Plan)
     slow: frozenset[str] | set[str] = frozenset()
     features: Features = Features()
+    wall_s: float = 0.0
+    log_speeds: dict[str, float] = field(default_factory=dict)
     evictions_left: int = MAX_EVICTIONS_PER_TICK
     searches_left: int = MAX_SEARCHES_PER_TICK
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
--- a/caroblead/dispatch/score.py
+++ b/caroblead/dispatch/score.py
@@ -7,6 +7,7 @@
 from .fleet import VmRow
 from .pacing import score_neighbours
 from .room import PlanningState
+from .speedscore import NO_REQUIREMENT, find_required_speed, score_speed
 from .work import StepWork
 
 # Penalties are added to the score of a VM, and the lowest score is the best fit. This one is for a
@@ -21,6 +22,8 @@
 def count_slots(step: StepWork, candidates, state: PlanningState, need: Resources):
     """Returns how many of a step's tasks fit on each VM, with its score, best fit first."""
     running_per_vm = count_tasks_per_vm(step, ()) if step.spec.max_per_vm else {}
+    learned = state.features.learned_durations
+    required = find_required_speed(step, state.wall_s) if learned else NO_REQUIREMENT
     slots = []
     for row in candidates:
         free = state.free[row.name]
@@ -32,6 +35,8 @@
         if count <= 0:
             continue
         score = _score(step, row, free, need)
+        if learned:
+            score += score_speed(required, state.log_speeds[row.name])
         if row.name in state.slow:
             score += SLOW_PENALTY
         if step.spec.fills:
