--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -68,8 +68,8 @@
     at ``progressed_s``. An ``endless`` run keeps its resources until it is stopped or breaks
     off. A run of a former term has no ``started_s``, and ``began_s`` is when the VM confirmed the
     start in this one. ``resumed`` tells whether it began from a checkpoint. ``expected_s`` is its
-    expected work as learned, 0 if only the estimate is known. ``need`` is what it books on its VM, and
-    ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
+    expected work as learned, 0 if only the estimate is known. ``need`` is what it books on its VM,
+    and ``charge`` what counts toward the quota of its team; ``None`` stands for ``need``.
 
     It is expected to end between ``low_s`` and ``high_s`` after its start, in eight cases of ten.
     Run anew, it and the steps after it take ``rest_s``. Its job is due at ``due_s``, which is
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -37,6 +37,7 @@
     may_fit_elsewhere,
 )
 from .score import choose_rack, count_slots
+from .speedscore import choose_similar, find_required_speed, list_log_speeds
 from .work import Hold, StepWork, get_booked_need
 
 # A longer margin would leave no time in which tickets are used at all.
@@ -87,6 +88,8 @@
         steps={step.key: step for step in steps},
     )
     state.limits = limits
+    if features.learned_durations:
+        state.log_speeds = list_log_speeds(rows)
     ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
     for rank, step in ranked:
         if len(state.plan.placements) >= limits.max_starts:
@@ -185,6 +188,9 @@
         slots = keep_gang_slots(state.isolation, step, slots)
     if step.spec.gang and step.spec.same_rack:
         slots = choose_rack(slots, len(indexes)) or slots
+    if step.spec.gang and state.features.learned_durations:
+        required = find_required_speed(step, state.wall_s)
+        slots = choose_similar(slots, len(indexes), required, state.log_speeds)
     if step.spec.gang and sum(count for count, _, _ in slots) < len(indexes):
         return []
     return fill_slots(indexes, slots)
--- a/caroblead/dispatch/room.py
+++ b/caroblead/dispatch/room.py
@@ -67,6 +67,7 @@
 
     ``free`` and ``used`` already include the placements of the plan. ``steps`` are all steps of the
     tick, and ``earliest_starts`` is when gangs may have room on their VMs, as far as known.
+    ``log_speeds`` holds the logarithms of the speeds of the VMs if they are learned.
     """
 
     fleet: Fleet
@@ -83,6 +84,7 @@
     wall_s: float = 0.0
     steps: dict[StepKey, StepWork] = field(default_factory=dict)
     earliest_starts: dict[StepKey, float] = field(default_factory=dict)
+    log_speeds: dict[str, float] = field(default_factory=dict)
     evictions_left: int = MAX_EVICTIONS_PER_TICK
     searches_left: int = MAX_SEARCHES_PER_TICK
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
