--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -5,6 +5,8 @@
 runs, and VMs may be reserved for a gang. A gang is placed whole or not at all.
 """
 
+from collections import Counter
+
 from ..core.resource import NOTHING
 from ..jobs.data import StepKey
 from .backfill import list_backfillable
@@ -22,7 +24,7 @@
 )
 from .makeroom import list_open_for, make_room, may_make_room
 from .orderwindow import OrderLimits
-from .rank import rank_step
+from .rank import Tier, rank_steps
 from .reservation import ReservationTable, hold_vms
 from .room import (
     Placement,
@@ -37,6 +39,7 @@
     may_fit_elsewhere,
 )
 from .score import choose_rack, count_slots
+from .share import ShareTable, note_without_room
 from .speedscore import choose_similar, find_required_speed, list_log_speeds
 from .work import Hold, StepWork, get_booked_need
 
@@ -55,12 +58,14 @@
     slow: frozenset[str] | set[str] = frozenset(),
     features: Features = Features(),
     limits: OrderLimits = OrderLimits(),
+    shares: ShareTable | None = None,
 ) -> Plan:
     """Returns the plan for now under the configuration in force.
 
     The VMs named in ``slow`` are only used when no other has room. Of the optional decisions,
-    those enabled in ``features`` are made. The plan ends with the step that reaches the number of
-    starts in ``limits``, so it holds the most urgent ones.
+    those enabled in ``features`` are made; fair share needs the ``shares`` of the term. The plan
+    ends with the step that reaches the number of starts in ``limits``, so it holds the most urgent
+    ones.
 
     For example, if one VM has a core free, a step of two tasks that need a core each gets one
     placement, or none if it is a gang.
@@ -90,7 +95,8 @@
     state.limits = limits
     if features.learned_durations:
         state.log_speeds = list_log_speeds(rows)
-    ranked = sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
+    shares = shares if features.fair_share else None
+    ranked = rank_steps(steps, wall_s, shares, configuration.teams, now_s)
     for rank, step in ranked:
         if len(state.plan.placements) >= limits.max_starts:
             break
@@ -100,9 +106,27 @@
         pool = find_pool(state, service, step.spec.label)
         _plan_step(state, step, rank, pool, configuration.teams.get(job.team))
     state.plan.lapsed = reservations.lapsed
+    if shares is not None and _has_step_without_room(state, ranked, configuration):
+        note_without_room(shares, now_s)
     return state.plan
 
 
+def _has_step_without_room(state: PlanningState, ranked, configuration: Configuration) -> bool:
+    """Returns whether a step that is of use still waits for room, and not for advice or quota."""
+    placed = Counter(placement.step.key for placement in state.plan.placements)
+    asking = {step.key for step in state.plan.advice_needed}
+    for rank, step in ranked:
+        if rank[0] is Tier.USELESS:
+            return False
+        if step.advice.pending or step.key in asking or placed[step.key] == len(step.waiting):
+            continue
+        team = step.work.job.team
+        used = state.used.get(team, NOTHING)
+        if count_allowance(configuration.teams.get(team), used, step.spec.need) > 0:
+            return True
+    return False
+
+
 def _plan_step(state: PlanningState, step: StepWork, rank: tuple, pool: Pool, team):
     terms = step.work.job.queue.advice
     need = get_booked_need(step.spec)
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -18,6 +18,7 @@
 from .loadmeter import LoadMeter
 from .orders import OrderSender
 from .rank import TokenBucket
+from .share import ShareTable
 from .work import JobWork
 
 # No task is started by entries of the registry that were read longer ago than this: a shrink that
@@ -63,6 +64,7 @@
     evacuation: EvacuationState = field(default_factory=EvacuationState)
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
     advice_shares: AdviceShares = field(default_factory=AdviceShares)
+    shares: ShareTable = field(default_factory=ShareTable)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     lost: bool = False
     resigning: bool = False
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -1,6 +1,7 @@
 """The leader's in-memory state of each open job: its waiting, running and completed tasks."""
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from ..core.resource import Resources
 from ..jobs.data import Job, JobState, Progress, RunRecord, StepKey, StepProgress, StepSpec
@@ -8,6 +9,9 @@
 from .fleet import Run
 from .interface import TaskName
 
+if TYPE_CHECKING:
+    from .chain import ChainEstimate
+
 
 @dataclass(slots=True)
 class StepAdvice:
@@ -55,6 +59,7 @@
     ``expectation`` is how long a run is expected to take; ``None`` stands for the estimate.
     ``hold`` is about the VMs that are reserved for it. Tasks in ``evicted`` have been evicted once
     by this leader, which doesn't do it again.
+    ``chain`` is the last estimate of how long the rest of the job takes.
     """
 
     key: StepKey
@@ -69,6 +74,7 @@
     expectation: Expectation | None = None
     hold: Hold = field(default_factory=Hold)
     evicted: set[int] = field(default_factory=set)
+    chain: "ChainEstimate | None" = None
 
     def make_task_name(self, index: int) -> TaskName:
         """Returns the name of the task with this index."""
--- /dev/null
+++ b/caroblead/node/gauges.py
@@ -0,0 +1,54 @@
+"""Collects the gauges of a node: what it knows, and what it does as the leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .program import Node
+
+
+def collect_gauges(node: Node) -> dict[str, float]:
+    """Returns the gauges of a node by their names without the prefix of the product."""
+    leader = node.leader
+    gauges = {
+        "leading": float(leader is not None),
+        "term": float(node.ledger.term.number if node.ledger.term else 0),
+        "jobs_open": float(len(node.ledger.jobs)),
+        "jobs_ended": float(len(node.ledger.ended)),
+        "configuration_version": float(
+            node.configuration_view.current.version if node.configuration_view.current else 0
+        ),
+        "configuration_age_seconds": node.configuration_tail.get_age_s(),
+        "ledger_age_seconds": node.ledger_tail.get_age_s(),
+        "appends_total": float(node.appender.appends),
+        "leader_appends_total": float(
+            node.leader_appends + (leader.commit.appends if leader else 0)
+        ),
+        "advice_calls_total": float(node.advice_queue.calls),
+        "vms_listed": float(len(node.registry.vms)),
+    }
+    if node.settings.evacuation_ms > 0:
+        gauges["zones_evacuated"] = float(len(node.evacuation_view.zones))
+    if leader is not None:
+        gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
+        gauges["open_orders_limit"] = leader.order_sender.window.size
+        gauges["vms_reserved"] = float(len(leader.fleet.reservations))
+        gauges["reservations_lapsed_total"] = float(leader.fleet.lapsed_holds)
+        gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
+        gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
+        gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
+        gauges.update(leader.learning.list_gauges())
+    return gauges
+
+
+def collect_team_gauges(node: Node) -> dict[str, tuple[str, dict[str, float]]]:
+    """Returns the gauges that the leader has for each team: the label's name and the values."""
+    if node.leader is None or not node.settings.fair_share:
+        return {}
+    uses = node.leader.state.shares.teams
+    recent = {name: use.get_effective() for name, use in uses.items()}
+    return {
+        "team_share": ("team", {name: use.now for name, use in uses.items()}),
+        "team_share_recent": ("team", recent),
+    }
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -27,6 +27,7 @@
 from .configuration import ConfigurationView
 from .election import ELECTION_CHECK_INTERVAL_S, Election, find_strong, list_candidates
 from .evacuation import EvacuationView
+from .gauges import collect_gauges, collect_team_gauges
 from .metric import NodeMetrics, write_node_metrics
 from .notifier import CompletionNotifier
 from .peer import Peers
@@ -356,36 +357,7 @@
 
     def write_metrics(self) -> str:
         """Returns the metrics of this node as text."""
-        leader = self.leader
-        gauges = {
-            "leading": float(leader is not None),
-            "term": float(self.ledger.term.number if self.ledger.term else 0),
-            "jobs_open": float(len(self.ledger.jobs)),
-            "jobs_ended": float(len(self.ledger.ended)),
-            "configuration_version": float(
-                self.configuration_view.current.version if self.configuration_view.current else 0
-            ),
-            "configuration_age_seconds": self.configuration_tail.get_age_s(),
-            "ledger_age_seconds": self.ledger_tail.get_age_s(),
-            "appends_total": float(self.appender.appends),
-            "leader_appends_total": float(
-                self.leader_appends + (leader.commit.appends if leader else 0)
-            ),
-            "advice_calls_total": float(self.advice_queue.calls),
-            "vms_listed": float(len(self.registry.vms)),
-        }
-        if self.settings.evacuation_ms > 0:
-            gauges["zones_evacuated"] = float(len(self.evacuation_view.zones))
-        if leader is not None:
-            gauges["looks_total"] = float(sum(watch.polls for watch in leader.vm_watches.values()))
-            gauges["open_orders_limit"] = leader.order_sender.window.size
-            gauges["vms_reserved"] = float(len(leader.fleet.reservations))
-            gauges["reservations_lapsed_total"] = float(leader.fleet.lapsed_holds)
-            gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
-            gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
-            gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
-            gauges.update(leader.learning.list_gauges())
-        text = write_node_metrics(self.metrics, gauges)
+        text = write_node_metrics(self.metrics, collect_gauges(self), collect_team_gauges(self))
         if self.load_control is not None:
             text += "\n".join(self.load_control.write_metrics()) + "\n"
         return text
