--- a/caroblead/dispatch/backfill_test.py
+++ b/caroblead/dispatch/backfill_test.py
@@ -87,6 +87,26 @@
     assert len(plan(steps, fleet, now_s=NOW_S + elapsed_s).placements) == expected
 
 
+def test_slow_vm_is_backfilled_only_with_work_that_ends_there_in_time():
+    """Guards against a gang delayed by work that takes four times as long on a slow VM."""
+    fleet, gang, _ = make_waiting_gang(20.0)
+    fleet.rows["v0"].speed = fleet.rows["v1"].speed = 0.25
+    assert plan([gang, make_short(2.0)], fleet).placements == []
+    assert len(plan([gang, make_short(1.0)], fleet).placements) == 1
+    fleet, gang, _ = make_waiting_gang(20.0)
+    fleet.rows["v0"].speed = 0.25
+    (placement,) = plan([gang, make_short(4.0)], fleet).placements
+    assert placement.vm.name == "v1"
+
+
+def test_end_of_a_run_is_expected_by_the_speed_of_its_vm():
+    fleet = make_fleet(2)
+    fleet.rows["v0"].speed = 0.5
+    slow, normal = (start(fleet, make_short(2.0, name), 0, name) for name in ("v0", "v1"))
+    assert slow.high_s == pytest.approx(2 * normal.high_s)
+    assert slow.low_s == pytest.approx(2 * normal.low_s)
+
+
 @pytest.mark.parametrize(
     "options", [{"gang": True}, {"endless": True}, {"fills": True}, {"miss_tolerance": 1}]
 )
