--- a/caroblead/dispatch/backfill.py
+++ b/caroblead/dispatch/backfill.py
@@ -46,7 +46,18 @@
     }
     if not holders:
         return set()
-    return {name for name in blocked if table.by_vm[name].step in holders}
+    return {
+        name
+        for name in blocked
+        if table.by_vm[name].step in holders and _ends_in_time_at_speed(state, step, name)
+    }
+
+
+def _ends_in_time_at_speed(state: PlanningState, step: StepWork, name: str) -> bool:
+    """Returns whether a step ends in time also on a VM that is slower than normal."""
+    high_s = get_expectation(step).high_s / min(1.0, state.fleet.rows[name].speed)
+    earliest_s = _get_earliest_start(state, state.reservations.by_vm[name].step)
+    return state.now_s + ORDER_MARGIN_S + high_s <= earliest_s
 
 
 def _may_backfill(step: StepWork) -> bool:
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -195,9 +195,9 @@
     run.has_checkpoints = spec.checkpoints
     run.estimate_s = spec.estimate_s
     run.expected_s = step.expectation.median_s if step.expectation else 0.0
-    expectation = get_expectation(step)
-    run.high_s = expectation.high_s
-    run.low_s = expectation.median_s**2 / expectation.high_s if expectation.high_s else 0.0
+    expectation, speed = get_expectation(step), run.vm.speed
+    run.high_s = expectation.high_s / speed
+    run.low_s = expectation.median_s**2 / expectation.high_s / speed if expectation.high_s else 0.0
     run.rest_s = expectation.high_s + compute_chain_after_s(step)
     run.due_s, run.target_s = step.work.due_s, step.work.target_s
     run.expects_progress = not (spec.endless or spec.fills)
