--- a/caroblead/dispatch/share.py
+++ b/caroblead/dispatch/share.py
@@ -23,6 +23,13 @@
 HISTORY_WEIGHT = 0.5
 # The interval at which the use of the teams is sampled.
 SAMPLE_INTERVAL_S = 0.1
+# Urgent steps are only charged with the urgent runs of their team: otherwise its long runs would
+# make its callers' short requests wait behind the long work of others. Where each priority was only
+# charged with runs at least as urgent, the other teams were served 0.77 of their work in time while
+# one team burst, instead of 0.81.
+URGENT_PRIORITY = 0
+# The interval at which the urgent runs of the teams are summed up, which visits every run.
+URGENT_INTERVAL_S = 0.5
 # Steps count as waiting without room until this long after one was seen last, because the room that
 # each end of a run frees would otherwise let teams over their share take it.
 FULL_HOLD_S = 1.0
@@ -51,7 +58,8 @@
     ``over`` holds the steps beyond the entitlement of their team, by the last tick. ``level`` is
     the entitlement for each unit of weight, infinite while nothing waits without room. ``limits``
     holds the teams with steps in ``over`` and their entitlement, and ``reported`` those that the
-    log shows as over their share.
+    log shows as over their share. ``urgent_parts`` is the part of each team's running
+    cores that is for urgent work, measured at ``urgent_s``.
     """
 
     teams: dict[str, TeamUse] = field(default_factory=dict)
@@ -63,6 +71,8 @@
     limits: dict[str, float] = field(default_factory=dict)
     task_shares: dict[Resources, float] = field(default_factory=dict)
     reported: set[str] = field(default_factory=set)
+    urgent_parts: dict[str, float] = field(default_factory=dict)
+    urgent_s: float = float("-inf")
 
 
 def sample_use(table: ShareTable, fleet: Fleet, now_s: float):
@@ -80,6 +90,9 @@
     if capacity != table.capacity:
         table.capacity = capacity
         table.task_shares.clear()
+    if now_s <= table.full_until_s and now_s - table.urgent_s >= URGENT_INTERVAL_S:
+        _measure_urgent_parts(table, fleet)
+        table.urgent_s = now_s
     is_first = table.sampled_s is None
     kept = 0.0 if is_first else 0.5 ** ((now_s - table.sampled_s) / HISTORY_HALF_LIFE_S)
     table.sampled_s = now_s
@@ -92,6 +105,19 @@
             del table.teams[name]
 
 
+def _measure_urgent_parts(table: ShareTable, fleet: Fleet):
+    """Measures which part of the running cores of each team is for urgent work."""
+    whole: defaultdict[str, int] = defaultdict(int)
+    urgent: defaultdict[str, int] = defaultdict(int)
+    for row in fleet.rows.values():
+        for run in row.runs.values():
+            millicores = run.get_charge().millicores
+            whole[run.team] += millicores
+            if run.priority == URGENT_PRIORITY:
+                urgent[run.team] += millicores
+    table.urgent_parts = {name: urgent[name] / max(1, whole[name]) for name in whole}
+
+
 def note_without_room(table: ShareTable, now_s: float):
     """Notes that a step waits now for which no VM has room."""
     table.full_until_s = now_s + FULL_HOLD_S
@@ -126,19 +152,19 @@
         ],
         in_use,
     )
-    used = {name: use.get_effective() for name, use in table.teams.items()}
+    claimed: defaultdict[str, float] = defaultdict(float)
     for step in steps:
         name = step.work.job.team
         team = teams.get(name)
         if team is None or team.weight <= 0:
             continue
         limit = table.level * team.weight
-        before = used.get(name, 0.0)
+        before = claimed[name] + _get_use(table, name, step.work.job.queue.priority)
         if before >= limit:
             table.over.add(step.key)
             table.limits[name] = limit
         else:
-            used[name] = before + _get_waiting_share(table, step)
+            claimed[name] += _get_waiting_share(table, step)
 
 
 def report_changes(table: ShareTable) -> list[tuple[str, bool]]:
@@ -189,6 +215,15 @@
     return demands
 
 
+def _get_use(table: ShareTable, team: str, priority: int) -> float:
+    """Returns the use of a team that counts against a step: for an urgent one only urgent runs."""
+    use = table.teams.get(team)
+    if use is None:
+        return 0.0
+    part = table.urgent_parts.get(team, 1.0) if priority == URGENT_PRIORITY else 1.0
+    return use.get_effective() * part
+
+
 def _get_waiting_share(table: ShareTable, step: StepWork) -> float:
     """Returns the share of the fleet that the waiting tasks of a step need."""
     need = step.spec.need
--- a/caroblead/dispatch/share_test.py
+++ b/caroblead/dispatch/share_test.py
@@ -15,6 +15,7 @@
 from .share import (
     FULL_HOLD_S,
     HISTORY_HALF_LIFE_S,
+    MAX_TASK_SHARES,
     ShareTable,
     compute_level,
     mark_over_share,
@@ -233,3 +234,32 @@
     order = rank_steps([lost, doomed, fresh], 2.5, shares, {}, NOW_S)
     assert [step.key.job for _, step in order] == ["fresh", "doomed", "lost"]
     assert find_tier(doomed, 2.5) is Tier.IN_TIME
+
+
+def test_urgent_step_is_not_charged_with_the_long_runs_of_its_team():
+    """Guards against interactive requests that wait because their team's reviews fill the fleet."""
+    fleet = make_fleet(10)
+    for run in run_tasks(fleet, "loud", 30):
+        run.priority = 2
+    run_tasks(fleet, "calm", 10)
+    urgent = JobQueue("u", "h", "/u/", "s", priority=0, stretch=3.0, latency_s=10.0)
+    steps = [
+        make_work("loud", "u", queue=urgent),
+        make_work("loud", "l", 9),
+        make_work("calm", "c", 9),
+    ]
+    table = ShareTable()
+    note_without_room(table, NOW_S)
+    sample(fleet, NOW_S, table)
+    assert mark(table, steps, make_teams(loud=1, calm=1)) == {"l"}
+
+
+def test_shares_of_needs_are_bounded():
+    """Guards against a flood of jobs with new needs that fills the leader's memory."""
+    fleet = make_fleet(2)
+    table = sample(fleet)
+    for number in range(2 * MAX_TASK_SHARES):
+        need = Resources(1, number)
+        step = make_steps(StepSpec(1, need, 1.0), queue=QUEUE, name=f"s{number}")[0]
+        mark(table, [step], make_teams(t=1))
+    assert len(table.task_shares) <= MAX_TASK_SHARES
--- a/caroblead/standin/overload.py
+++ b/caroblead/standin/overload.py
@@ -95,7 +95,7 @@
 
     A burst is a queue or a team with the time from and until which it sends ``factor`` times its
     usual load. A tenth of the VMs leaves at ``leave_s``, for which they are marked 2 s before, and
-    returns at ``return_s``.
+    returns at ``return_s``. After the last arrival the replay goes on for ``drain_s`` at most.
     """
 
     duration_s: float = 30.0
@@ -105,6 +105,7 @@
     scale: float = 1.0
     seed: int = 1
     leader_change_s: float | None = None
+    drain_s: float = 30.0
 
 
 @dataclass(slots=True)
@@ -186,7 +187,7 @@
             self._push(self.load.return_s, self._mark_leaving, False)
         if self.load.leader_change_s is not None:
             self._push(self.load.leader_change_s, lambda now_s: self.begin_term())
-        while now_s < self.load.duration_s + 30.0 and (self.events or self.works):
+        while now_s < self.load.duration_s + self.load.drain_s and (self.events or self.works):
             while self.events and self.events[0][0] <= now_s:
                 at_s, _, action, arguments = heapq.heappop(self.events)
                 action(at_s, *arguments)
