Test a leader change under fair share, and divide nothing while nothing runs

At the beginning of a burst the last sample showed no use, so every team was logged as over a share of 0.

--- a/caroblead/dispatch/rank.py
+++ b/caroblead/dispatch/rank.py
@@ -43,7 +43,15 @@
     USELESS = 5
 
 
-_OVER_SHARE = {Tier.IN_TIME: Tier.OVER_SHARE, Tier.LATE: Tier.LATE_OVER_SHARE}
+# The tier of a step over its team's share, by its tier otherwise.
+_OVER_SHARE = (
+    Tier.SERVING,
+    Tier.OVER_SHARE,
+    Tier.OVER_SHARE,
+    Tier.LATE_OVER_SHARE,
+    Tier.LATE_OVER_SHARE,
+    Tier.USELESS,
+)
 
 
 @dataclass(slots=True)
@@ -108,7 +116,7 @@
 
 
 def _lower_if_over(tier: Tier, step: StepWork, shares: ShareTable) -> Tier:
-    return _OVER_SHARE.get(tier, tier) if step.key in shares.over else tier
+    return _OVER_SHARE[tier] if step.key in shares.over else tier
 
 
 def _find_expected_tier(step: StepWork, wall_s: float) -> Tier:
--- a/caroblead/dispatch/share.py
+++ b/caroblead/dispatch/share.py
@@ -144,6 +144,9 @@
         return
     demands = _sum_demands(table, steps, teams)
     in_use = sum(use.now for use in table.teams.values())
+    if not in_use:
+        # Nothing ran at the last sample, so there is nothing to divide yet.
+        return
     table.level = compute_level(
         [
             (teams[name].weight, demand)
--- a/caroblead/node/overload_test.py
+++ b/caroblead/node/overload_test.py
@@ -13,7 +13,15 @@
 from ..jobs.data import JobState
 from ..jobs.ledger import find_state
 from ..standin import cluster
-from ..standin.cluster import ADVISED, find_leader, run_scenario, start_site, submit
+from ..standin.cluster import (
+    ADVISED,
+    find_leader,
+    kill_node,
+    run_scenario,
+    start_site,
+    submit,
+    wait_for_leader,
+)
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
 
@@ -83,3 +91,43 @@
         return site
 
     assert check_site(run_scenario(scenario)) == []
+
+
+def test_new_leader_goes_on_with_the_shares_of_the_runs_during_a_burst(monkeypatch):
+    """Guards against a killed leader that loses work of a burst, or forgives the team's use."""
+    enable(monkeypatch, fair_share=True, sized_advice=True)
+
+    async def scenario():
+        site = await start_site()
+        jobs = [await submit(site, "n0", make_spec(make_step(4), seconds=3.0)) for _ in range(6)]
+        await asyncio.sleep(1.0)
+        before = site.nodes[find_leader(site)].leader.state.shares
+        assert before.teams["north"].now == pytest.approx(1.0)
+        # A team that is alone is never over its share, although its work waits.
+        assert before.full_until_s > 0
+        assert (before.over, before.reported) == (set(), set())
+        await kill_node(site, find_leader(site))
+        name = await wait_for_leader(site)
+        await asyncio.sleep(0.3)
+        node = site.nodes[name]
+        assert node.leader.state.shares.teams["north"].history == pytest.approx(1.0, abs=0.1)
+        assert 'caroblead_team_share{team="north"}' in node.write_metrics()
+        await asyncio.sleep(25)
+        assert {find_state(node.ledger, job) for job in jobs} == {JobState.DONE}
+        leader = site.nodes[find_leader(site)].leader
+        assert leader.state.shares.over == set()
+        return site
+
+    assert check_site(run_scenario(scenario)) == []
+
+
+def test_gauges_of_the_teams_are_only_shown_with_fair_share():
+    async def scenario():
+        site = await start_site()
+        await submit(site, "n0", make_spec(make_step(4), seconds=1.0))
+        await asyncio.sleep(0.5)
+        assert "team_share" not in site.nodes[find_leader(site)].write_metrics()
+        await asyncio.sleep(3)
+        return site
+
+    assert check_site(run_scenario(scenario)) == []
