Test that a rejection is preceded by a read that finds an id stored a moment ago

Cause: with the read before a rejection left out, only tests of lagging and cut-off nodes failed. Change: one test whose node pauses between reads while the id is stored. Result: rejection_test.py, 17 passed; with the read left out the new test fails.

--- a/caroblead/node/rejection_test.py
+++ b/caroblead/node/rejection_test.py
@@ -7,7 +7,8 @@
 from ..core.clock import get_wall_s
 from ..core.outcome import Reason
 from ..core.resource import Resources
-from ..jobs.record import KeyedRecord, LoadReport, QueueWait, encode_load_report
+from ..jobs.data import Job
+from ..jobs.record import KeyedRecord, LoadReport, QueueWait, encode_job, encode_load_report
 from ..standin.cluster import (
     QUEUES,
     find_leader,
@@ -67,6 +68,11 @@
     return isinstance(outcome, Rejected) and outcome.fault.reason is Reason.QUEUE_FULL
 
 
+def make_job_record(job_id):
+    job = Job(job_id, "north", QUEUES["checks"], SPEC, get_wall_s())
+    return KeyedRecord(f"j/{job_id}", encode_job(job))
+
+
 def get_other_node(site):
     return next(name for name in sorted(site.nodes) if name != find_leader(site))
 
@@ -167,6 +173,26 @@
     judge(run_scenario(scenario))
 
 
+def test_id_that_was_stored_a_moment_ago_is_found_in_the_log_before_a_rejection():
+    """Only the read before the rejection can tell this node of the earlier attempt."""
+
+    async def scenario():
+        site = await start_busy_site()
+        name = get_other_node(site)
+        await publish_report(site)
+        for _ in range(5):
+            job_id = f"{next(site.ids):016x}"
+            site.nodes[name].ledger_tail.pause_s = 0.8
+            await asyncio.sleep(0.5)
+            site.ledger.append([make_job_record(job_id)], None)
+            assert await send(site, name, job_id) == Accepted(known_before=True)
+            await publish_report(site)
+        await asyncio.sleep(10)
+        return site
+
+    judge(run_scenario(scenario))
+
+
 def test_node_that_lags_behind_accepts_because_it_cannot_prove_a_rejection():
     async def scenario():
         site = await start_busy_site()
