--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -9,7 +9,7 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
 from ..core.timer import Timer, await_and_log_errors, call_and_log_errors
-from ..jobs.data import FINAL_STATES, Job, JobState, Progress, StepKey
+from ..jobs.data import FINAL_STATES, Job, JobState, Progress, RunRecord, StepKey
 from ..jobs.ledger import MALFORMED, Change, JobAdded, JobCancelled, StoredJob
 from ..jobs.record import decode_progress
 from .commit import CommitQueue
@@ -150,7 +150,7 @@
             if step_progress.crashes:
                 self.state.crash_table.suspects[step.key] = step
             for record in step_progress.runs:
-                inherit_run(self.fleet, step, record)
+                self._inherit_run(step, record)
         if job.cancelled:
             self._finish(work, JobState.CANCELLED)
         return True
@@ -165,6 +165,9 @@
         self.learning.set_expectations(work)
         return work
 
+    def _inherit_run(self, step: StepWork, record: RunRecord):
+        inherit_run(self.fleet, step, record)
+
     def apply_change(self, change: Change):
         """Handles a change that was read from the log."""
         if isinstance(change, JobAdded):
@@ -378,11 +381,8 @@
                     self.order_sender.stop(run)
         for name in mark_slow(self.state.health, now_s):
             log("vm:slow", vm=name, slowness=round(self.state.health.speeds[name].slowness, 2))
-        if self.broken_since:
-            open_jobs = self.state.open_jobs
-            self.broken_since = {
-                k: at_s for k, at_s in self.broken_since.items() if k.job in open_jobs
-            }
+        known = self.state.open_jobs
+        self.broken_since = {k: at_s for k, at_s in self.broken_since.items() if k.job in known}
         self._sweep_crashes(now_s)
         self.state.wake.set()
 
--- a/caroblead/standin/overload.py
+++ b/caroblead/standin/overload.py
@@ -45,6 +45,8 @@
 VMS = 176
 SPEEDS = (0.8, 1.0, 1.25)
 WARM_UP_S = 5.0
+# How many steps that are of no use any more may wait for advice at a time.
+MAX_USELESS_REQUESTS = 1
 # An objective allows for one request about this many VMs for each step of the chain.
 OBJECTIVE_VMS = 30
 
@@ -323,7 +325,7 @@
         if sized and needed:
             pending = [step for step in steps if step.advice.pending]
             tiers = {step.key: find_tier(step, now_s, shares) for step in (*needed, *pending)}
-            needed = select_requests(needed, pending, tiers, True)
+            needed = select_requests(needed, pending, tiers, True, MAX_USELESS_REQUESTS)
         for step in needed:
             queue = step.work.job.queue
             if sized:
