--- a/caroblead/node/admission.py
+++ b/caroblead/node/admission.py
@@ -22,8 +22,8 @@
 # margin it would begin and end with each report, because rejections shorten the wait.
 END_FRACTION = 0.7
 MIN_RETRY_AFTER_S = 1.0
-# Returning callers may take this part of the rate at which jobs begin. If more return, they take the
-# room of jobs that could still be done in time.
+# Returning callers may take this part of the rate at which jobs begin. If more return, they take
+# the room of jobs that could still be done in time.
 RETURNING_FRACTION = 0.05
 # Rejected callers are spread over this long at most.
 MAX_RETRY_AFTER_S = 60.0
