--- a/caroblead/dispatch/backfill.py
+++ b/caroblead/dispatch/backfill.py
@@ -27,7 +27,7 @@
 from .work import StepWork, get_booked_need, get_expectation
 
 # The time between a decision to start work and its start, plus that between its end and the
-# leader's knowledge of it. The VMs answer an order within 0.4 s.
+# leader's knowledge of it, on a leader that isn't short of processor time.
 ORDER_MARGIN_S = 0.4
 # The phases of a run whose remaining time can be estimated.
 ESTIMATED_PHASES = (RunPhase.RECORDING, RunPhase.ORDERED, RunPhase.RUNNING)
--- a/caroblead/dispatch/share.py
+++ b/caroblead/dispatch/share.py
@@ -24,9 +24,8 @@
 # The interval at which the use of the teams is sampled.
 SAMPLE_INTERVAL_S = 0.1
 # Urgent steps are only charged with the urgent runs of their team: otherwise its long runs would
-# make its callers' short requests wait behind the long work of others. Where each priority was only
-# charged with runs at least as urgent, the other teams were served 0.77 of their work in time while
-# one team burst, instead of 0.81.
+# make its callers' short requests wait behind the long work of others. Less urgent steps are
+# charged with all runs, or a team could hide its long work behind another priority.
 URGENT_PRIORITY = 0
 # The interval at which the urgent runs of the teams are summed up, which visits every run.
 URGENT_INTERVAL_S = 0.5
