Doubt VMs that leave calls unanswered, and their zone once two do

A VM gets no task until it has been heard after the call that it left unanswered, and two such VMs put the rest of their zone in doubt, which is asked at once. What restarted VMs leave of their runs moves to lateorder.

--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -139,6 +139,7 @@
     ``alone_runs`` count the runs of either level of isolation. ``late_orders`` are the start orders
     that got no answer and were settled by a stop, with the time until which they may be carried
     out if the VM restarts and forgets the stop. ``speed`` is as learned, 1.0 if nothing is known.
+    The VM gets no new tasks until it has been heard after ``doubted_s``.
     """
 
     name: str
@@ -163,6 +164,7 @@
     alone_runs: int = 0
     speed: float = 1.0
     late_orders: dict[tuple[TaskName, int], float] = field(default_factory=dict)
+    doubted_s: float = 0.0
 
     def make_target(self) -> Target:
         """Returns the target for orders to this incarnation."""
@@ -317,6 +319,7 @@
         and not row.unknown_runs
         and not row.alone_runs
         and now_s - row.heard_s < SILENT_AFTER_S
+        and row.heard_s >= row.doubted_s
         and now_s >= row.avoid_until_s
     )
 
@@ -333,7 +336,7 @@
     """Resets the lease of a VM that has restarted; the caller must end its runs."""
     row.incarnation = incarnation
     row.clock_ms = row.deadline_ms = row.seen = row.unknown_runs = 0
-    row.clock_at_s = row.heard_s = 0.0
+    row.clock_at_s = row.heard_s = row.doubted_s = 0.0
     row.answered = False
     row.reset_s = now_s
     row.fill_pace, row.calm_polls = FULL_PACE, 0
--- a/caroblead/dispatch/lateorder.py
+++ b/caroblead/dispatch/lateorder.py
@@ -21,6 +21,8 @@
 
 # A start order without an answer may be carried out this late.
 MAX_ORDER_DELAY_S = 30.0
+# Answers on different connections to a VM may arrive out of order by at most this much.
+MAX_REORDERING_S = 0.5
 
 
 def note_late_order(run: Run, now_s: float):
@@ -38,6 +40,28 @@
     row.late_orders = {key: at_s for key, at_s in row.late_orders.items() if at_s > now_s}
 
 
+def list_gone(row: VmRow, last_list_s: float) -> list[Run]:
+    """Returns the runs that certainly ended with the former incarnation of a restarted VM.
+
+    An order that was not answered may still be carried out by the new incarnation, and one that was
+    answered since the last run lists may have been answered by it. The runs of such orders become
+    unsure: their tasks only run elsewhere once the new incarnation has refused the order, because
+    it has seen this term or a stop, or once it doesn't list the run.
+    """
+    gone = []
+    for run in row.runs.values():
+        if run.phase is RunPhase.INHERITED:
+            continue
+        is_recent = run.order_answered_s > last_list_s - MAX_REORDERING_S
+        may_be_in_new_incarnation = run.phase is RunPhase.RUNNING and is_recent
+        if run.unanswered or may_be_in_new_incarnation or run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.UNSURE
+            run.unanswered = True
+        else:
+            gone.append(run)
+    return gone
+
+
 def expect_late_orders(state: TermState, row: VmRow):
     """Takes back the runs that a restarted VM may start by orders that were given up.
 
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -15,6 +15,7 @@
 from .commit import CommitQueue
 from .completion import drop_runs, list_broken_gang, settle_end
 from .crash import clear_survivors, list_condemned, note_crash, note_loss
+from .doubt import doubt_vm
 from .fleet import (
     Fleet,
     Run,
@@ -27,7 +28,13 @@
 )
 from .health import STALL_AVOID_S, mark_slow, record_end
 from .interface import EndedTask, EndReason, RunningTask, StartRefusal
-from .lateorder import expect_late_orders, handle_unknown_run, has_late_orders, note_late_order
+from .lateorder import (
+    expect_late_orders,
+    handle_unknown_run,
+    has_late_orders,
+    list_gone,
+    note_late_order,
+)
 from .learning import Learning
 from .loadreport import start_load_reports
 from .orders import OrderSender
@@ -40,8 +47,6 @@
 from .work import JobWork, StepWork, count_required_runs, open_job
 
 SWEEP_INTERVAL_S = 0.1
-# Answers on different connections to a VM may arrive out of order by at most this much.
-MAX_REORDERING_S = 0.5
 # No task of a job is started for this long after a VM rejected an order as invalid.
 INVALID_BACKOFF_S = 1.0
 
@@ -235,31 +240,21 @@
             task.cancel()
 
     def on_restarted(self, row: VmRow, incarnation: int):
-        """Handles the restart of a VM: no run of its former incarnation exists any more.
-
-        An order that was not answered may still be carried out by the new incarnation, and one that
-        was answered since the last run lists may have been answered by the new incarnation, because
-        an order names a VM and not its incarnation. The task of such an order is only run elsewhere
-        once the new incarnation has refused the order, because it has seen this term or a stop, or
-        once it doesn't list the run.
-        """
+        """Handles the restart of a VM: no run of its former incarnation exists any more."""
         log("vm:started_again", vm=row.name, incarnation=incarnation, runs=len(row.runs))
-        last_list_s = row.heard_s - MAX_REORDERING_S
+        last_list_s = row.heard_s
         self._note_crash(row, incarnation)
         reset_incarnation(row, incarnation, get_elapsed_s())
-        for run in list(row.runs.values()):
-            if run.phase is RunPhase.INHERITED:
-                continue
-            may_be_in_new_incarnation = (
-                run.phase is RunPhase.RUNNING and run.order_answered_s > last_list_s
-            )
-            if run.unanswered or may_be_in_new_incarnation or run.phase is RunPhase.ORDERED:
-                run.phase = RunPhase.UNSURE
-                run.unanswered = True
-            else:
-                self.on_gone(run, "its VM has restarted")
+        for run in list_gone(row, last_list_s):
+            self.on_gone(run, "its VM has restarted")
         expect_late_orders(self.state, row)
 
+    def on_unanswered(self, row: VmRow, sent_s: float):
+        """Handles a call to a VM, sent at ``sent_s``, that got no answer in time."""
+        for other in doubt_vm(self.fleet, row, sent_s):
+            log("vm:doubted", vm=other.name, zone=other.listed.zone)
+            self.order_sender.spawn(await_and_log_errors(self.poll_vm(other)))
+
     def on_unknown_run(self, row: VmRow, running: RunningTask):
         """Handles a run that a VM lists but that isn't in the table: takes it back or stops it."""
         handle_unknown_run(self.state, row, running)
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -88,6 +88,8 @@
         self._observe_duration(run, outcome, sent_s)
         if (run.task, run.number) not in row.runs or row.incarnation != incarnation:
             return
+        if isinstance(outcome, NoAnswer):
+            self.reports.on_unanswered(row, sent_s)
         self._handle_start_outcome(run, outcome)
 
     def _observe_duration(self, run: Run, outcome, sent_s: float):
--- a/caroblead/dispatch/report.py
+++ b/caroblead/dispatch/report.py
@@ -27,6 +27,9 @@
     def on_restarted(self, row: VmRow, incarnation: int):
         """Handles the restart of a VM."""
 
+    def on_unanswered(self, row: VmRow, sent_s: float):
+        """Handles a call to a VM, sent at ``sent_s``, that got no answer in time."""
+
     def on_unknown_run(self, row: VmRow, running: RunningTask):
         """Handles a run that a VM lists but that isn't in the table: takes it back or stops it."""
 
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -65,6 +65,8 @@
         sent_s = get_elapsed_s()
         answer = await self._hold()
         if not isinstance(answer, HoldAnswer):
+            if isinstance(answer, NoAnswer):
+                self.reports.on_unanswered(self.row, sent_s)
             self._handle_failure(answer)
             return False
         await self._handle_lists(answer, sent_s)
