Open the callers' port before the program is loaded

Their connections now wait in the queue of the socket, and a call on a node that has not read its configuration waits for that, 0.5 s at most.

--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -11,6 +11,7 @@
 from ..core.clock import get_wall_s
 from ..core.logsink import log, log_routine
 from ..core.outcome import Fault, Reason, Step
+from ..core.timer import wait_for_event
 from ..dispatch.interface import ListedVm, find_service
 from ..jobs.data import FINAL_STATES, Job, JobQueue, JobSpec, JobState
 from ..jobs.ledger import Ledger, count_waiting, find_state
@@ -24,6 +25,8 @@
 
 # When a caller may retry after a rejection whose cause is expected to pass soon.
 RETRY_AFTER_S = 1.0
+# How long a call on a node that has just started waits for the first read of the configuration.
+CONFIGURATION_TIMEOUT_S = 0.5
 # An answer is sent this long before the caller's deadline.
 ANSWER_MARGIN_S = 0.2
 # How long an unknown job is searched for in the log before the caller is told that there is none.
@@ -111,6 +114,14 @@
         self.load_control = load_control
         self.get_vms = get_vms
 
+    async def wait_for_configuration(self):
+        """Waits a moment for the configuration on a node that has just started.
+
+        A call that came during the start is answered sooner than if its caller had to try again.
+        """
+        if self.configuration_view.current is None:
+            await wait_for_event(self.configuration_tail.answered, CONFIGURATION_TIMEOUT_S)
+
     def admit(self, host: str, path: str, key: str | None) -> Admission | Rejected:
         """Returns the queue of a request and the team of its key, or why it is rejected."""
         configuration = self.configuration_view.current
--- a/caroblead/platform/__main__.py
+++ b/caroblead/platform/__main__.py
@@ -4,6 +4,8 @@
 a node never needs because it makes no TLS connections, and the garbage collector looks through
 objects that live as long as the process.
 
+The callers' port is opened first, so that calls wait for the start and aren't refused.
+
 A request to reload the settings that arrives before they are first read is ignored.
 """
 
@@ -11,8 +13,11 @@
 import os
 import signal
 
+from .earlysocket import open_caller_socket
+
 # Names the file from which OpenSSL reads the trusted certificates.
 CERTIFICATES_VARIABLE = "SSL_CERT_FILE"
+SETTINGS_VARIABLE = "CAROBLEAD_SETTINGS"
 
 
 def load_program():
@@ -28,5 +33,11 @@
     return run
 
 
+def main():
+    """Opens the callers' port, loads the program and runs it."""
+    caller_socket = open_caller_socket(os.environ.get(SETTINGS_VARIABLE, ""))
+    load_program()(caller_socket)
+
+
 if __name__ == "__main__":
-    load_program()()
+    main()
--- /dev/null
+++ b/caroblead/platform/earlysocket_test.py
@@ -0,0 +1,71 @@
+"""Guards against calls that are refused or rejected while a node starts."""
+
+import asyncio
+import json
+import socket
+
+from ..standin.cluster import run_scenario, start_site
+from .earlysocket import open_caller_socket
+from .frontend import Frontend
+from .frontend_test import BODY, JOB, RpcClient
+from .http import HttpClient
+
+
+def write_settings(tmp_path, text):
+    path = tmp_path / "settings.json"
+    path.write_text(text)
+    return str(path)
+
+
+def open_at_free_port(tmp_path):
+    path = write_settings(tmp_path, json.dumps({"callers": "127.0.0.1:0"}))
+    return open_caller_socket(path)
+
+
+def test_call_that_comes_before_the_node_is_loaded_is_accepted(tmp_path):
+    early = open_at_free_port(tmp_path)
+
+    async def scenario():
+        site = await start_site()
+        node = site.nodes["n0"]
+        frontend = Frontend(node.request_handler, node.is_ready, node.metrics)
+        # The connection and its request wait in the queue of the socket.
+        reader, writer = await asyncio.open_connection(*early.getsockname())
+        writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+        await frontend.start("127.0.0.1:1", "127.0.0.1:0", early)
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        await frontend.stop_listening()
+        return site
+
+    run_scenario(scenario)
+
+
+def test_call_on_a_node_that_has_not_read_its_configuration_waits_for_it(tmp_path):
+    async def scenario():
+        site = await start_site()
+        node = site.nodes["n0"]
+        frontend = Frontend(node.request_handler, node.is_ready, node.metrics)
+        await frontend.start("127.0.0.1:0", "127.0.0.1:0")
+        http = HttpClient()
+        known = node.configuration_view.current
+        node.configuration_view.current = None
+        call = asyncio.create_task(RpcClient(http, frontend).call("POST", f"/c/{JOB}", BODY))
+        await asyncio.sleep(0.05)
+        node.configuration_view.current = known
+        assert (await call).status == 200
+        await http.close()
+        await frontend.stop_listening()
+        return site
+
+    run_scenario(scenario)
+
+
+def test_unusable_settings_or_a_port_in_use_leave_the_start_as_it_was(tmp_path):
+    for text in ("", "{", "[]", "{}", '{"callers": 7}', '{"callers": "127.0.0.1:x"}'):
+        assert open_caller_socket(write_settings(tmp_path, text)) is None
+    assert open_caller_socket(str(tmp_path / "missing")) is None
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        address = "{}:{}".format(*other.getsockname())
+        path = write_settings(tmp_path, json.dumps({"callers": address}))
+        assert open_caller_socket(path) is None
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, in the platform's protocol; passes calls to the request handler."""
 
 import asyncio
+import socket
 
 import orjson
 from aiohttp import web
@@ -69,12 +70,21 @@
     def closing(self, value: bool):
         self.caller_listener.closing = value
 
-    async def start(self, caller_address: str, readiness_address: str):
+    async def start(
+        self,
+        caller_address: str,
+        readiness_address: str,
+        caller_socket: socket.socket | None = None,
+    ):
         """Listens for callers and for the load balancer's readiness checks.
 
-        Both addresses have the form ``host:port`` and may be the same.
+        Both addresses have the form ``host:port`` and may be the same. Callers are served through
+        ``caller_socket`` if it is given, which listens at their address already.
         """
-        await _start_at(self.caller_listener, caller_address)
+        if caller_socket is None:
+            await _start_at(self.caller_listener, caller_address)
+        else:
+            await self.caller_listener.start_on(caller_socket)
         if readiness_address != caller_address:
             listener = Listener(self._serve_readiness)
             self.listeners.append(listener)
@@ -106,6 +116,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         host = request.headers.get("Host", "").split(":")[0]
         path = request.path
+        await self.request_handler.wait_for_configuration()
         admission = self.request_handler.admit(host, path, _read_api_key(request))
         if isinstance(admission, Rejected):
             await request.read()
--- a/caroblead/platform/listener.py
+++ b/caroblead/platform/listener.py
@@ -7,14 +7,15 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from ..core.clock import get_elapsed_s
+from .earlysocket import BACKLOG
 
-BACKLOG = 512
 # After this many turns of the event loop, an accepted connection is known to the server, and the
 # handler of a request that was read has begun.
 TURNS_UNTIL_BEGUN = 4
@@ -49,6 +50,11 @@
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port, backlog=BACKLOG).start()
 
+    async def start_on(self, listening: socket.socket):
+        """Starts to accept the connections of a socket, also those that wait there already."""
+        await self.runner.setup()
+        await web.SockSite(self.runner, listening, backlog=BACKLOG).start()
+
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         connection = request.protocol
         self.calls[connection] = asyncio.current_task()
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 import zlib
 from collections.abc import Callable
@@ -83,8 +84,11 @@
     return listener
 
 
-async def serve(path: str):
-    """Runs a node until SIGTERM or SIGINT, then drains it; SIGHUP reloads the settings."""
+async def serve(path: str, caller_socket: socket.socket | None = None):
+    """Runs a node until SIGTERM or SIGINT, then drains it; SIGHUP reloads the settings.
+
+    Callers are served through ``caller_socket`` if it is given, which listens already.
+    """
     stop_requested = asyncio.Event()
     # A signal during the start is handled at the next turn of the loop, when the node exists.
     handle_signals(stop_requested.set, lambda: reload_settings(path, node))
@@ -95,7 +99,7 @@
     node = make_node(settings, store_http, vm_http)
     frontend = Frontend(node.request_handler, node.is_ready, node.metrics)
     await node.start()
-    await frontend.start(settings.callers, settings.readiness)
+    await frontend.start(settings.callers, settings.readiness, caller_socket)
     metrics_listener = await serve_metrics(node)
     log("node:started", incarnation=node.election.incarnation)
     await stop_requested.wait()
@@ -131,9 +135,9 @@
     log("settings:reloaded", changed=merged.changed, needs_restart=merged.needs_restart)
 
 
-def run():
-    """Runs the node program."""
-    asyncio.run(serve(os.environ[SETTINGS_VARIABLE]))
+def run(caller_socket: socket.socket | None = None):
+    """Runs the node program, which serves callers through the socket if it is given."""
+    asyncio.run(serve(os.environ[SETTINGS_VARIABLE], caller_socket))
 
 
 if __name__ == "__main__":
