--- a/caroblead/tools/command.py
+++ b/caroblead/tools/command.py
@@ -25,7 +25,14 @@
 from ..config.ticket import parse_ticket
 from ..core.outcome import describe_problem
 from .demo import run_demo, run_load
-from .inspection import EXIT_REFUSED, EXIT_USAGE, explain_job, settings_app, timeline_app
+from .inspection import (
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    explain_job,
+    report_losses,
+    settings_app,
+    timeline_app,
+)
 from .load import summarize_waits
 from .programs import load_or_exit, open_timeline
 
@@ -40,6 +47,7 @@
 for child in (ticket_app, key_app, settings_app, timeline_app):
     app.command(child)
 app.command(explain_job, name="explain")
+app.command(report_losses, name="losses")
 
 Gate = Annotated[str, Parameter(name="--gate", env_var="CAROBLEAD_GATE", help="URL of a gate")]
 Key = Annotated[str, Parameter(name="--key", env_var="CAROBLEAD_KEY", help="bearer key")]
--- a/caroblead/tools/inspection.py
+++ b/caroblead/tools/inspection.py
@@ -17,6 +17,7 @@
 from ..core.outcome import Checked, describe_problem
 from ..events.checker import PROMISES
 from ..events.jobtrace import collect_job_trace, format_job_trace
+from ..events.losses import Grouping, collect_losses, encode_losses, format_losses
 from ..events.timeline import encode_record, read_records
 from ..node.setting import load_node_settings
 
@@ -140,6 +141,30 @@
     return 0
 
 
+def report_losses(*files: str, by: Grouping = Grouping.QUEUE, json: AsJson = False) -> int:
+    """Show how many jobs were late or never done, and why, from the logs of all nodes.
+
+    Parameters
+    ----------
+    files: log files, or directories of them; standard input when none is named
+    by: what the jobs are grouped by
+    """
+    texts = (text for _, opened in _open_sources(files) for text in opened)
+    report = collect_losses(texts)
+    if not report.jobs:
+        print("no log line tells of an accepted job", file=sys.stderr)
+        return EXIT_REFUSED
+    if json:
+        print(_encode_rows(encode_losses(report, by)))
+    else:
+        print("\n".join(format_losses(report, by)))
+    return 0
+
+
+def _encode_rows(rows: list[dict]) -> str:
+    return json.dumps(rows)
+
+
 def _open_sources(files: tuple[str, ...]):
     if not files:
         yield "standard input", sys.stdin
