Pass calls that a node can't serve on to a peer that can

Such a call goes to at most two peers, once (Via), and the caller gets the peer's answer; one that changes something and may have reached a silent peer is in doubt. A peer that rejects is left alone for a second, so that an outage for all costs little. Setting 'relay'.

--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -56,7 +56,8 @@
     leader, ``grace_s`` how long a planned stop may take. The node may use ``core_share`` of a core
     that is ``core_speed`` times as fast as a reference core, and a network link of ``link_mbps``.
     ``evacuation_ms`` is within how long no task may start any more in an availability zone that is
-    evacuated, 0 where zones aren't evacuated. The last settings switch on the optional decisions of
+    evacuated, 0 where zones aren't evacuated. With ``relay``, calls that the node can't serve are
+    passed on to a peer. The other switches are for the optional decisions of
     :class:`caroblead.dispatch.features.Features`.
     """
 
@@ -82,6 +83,7 @@
     learned_durations: bool = _define_switch()
     backfill: bool = _define_switch()
     sized_advice: bool = _define_switch()
+    relay: bool = _define_switch()
 
 
 def compute_strength(settings: NodeSettings) -> float:
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -6,8 +6,10 @@
 import orjson
 from aiohttp import web
 
+from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.outcome import Reason
+from ..node.relaychoice import NODE_REASONS
 from ..node.requesthandler import (
     Accepted,
     Cancelled,
@@ -19,6 +21,7 @@
 )
 from .jobs import decode_spec, encode_state
 from .listener import Listener
+from .relay import Relay
 
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
@@ -48,10 +51,13 @@
     planned stop is over.
     """
 
-    def __init__(self, request_handler: RequestHandler, is_ready, metrics):
+    def __init__(
+        self, request_handler: RequestHandler, is_ready, metrics, relay: Relay | None = None
+    ):
         self.request_handler = request_handler
         self.is_ready = is_ready
         self.metrics = metrics
+        self.relay = relay
         self.caller_listener = Listener(self._serve_caller)
         self.listeners = [self.caller_listener]
         self.rejection_of_open_calls: Rejected | None = None
@@ -114,30 +120,45 @@
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
+        deadline_s = get_elapsed_s() + _read_time_budget_s(request)
+        outcome = await self._decide(request, deadline_s)
+        if isinstance(outcome, Rejected):
+            # The whole request is read before it is rejected.
+            body = await request.read()
+            if self.relay is not None and outcome.fault.reason in NODE_REASONS:
+                outcome = await self._pass_on(request, body, deadline_s) or outcome
+        return _make_response(outcome)
+
+    async def _pass_on(self, request: web.BaseRequest, body: bytes, deadline_s: float):
+        """Returns what came of passing a call on, or ``None`` if it certainly had no effect."""
+        started_s = get_elapsed_s()
+        outcome = await self.relay.pass_on(request, body, deadline_s)
+        self.metrics.record_span("call_passed_on", get_elapsed_s() - started_s)
+        return outcome
+
+    async def _decide(self, request: web.BaseRequest, deadline_s: float):
+        """Returns the outcome of a call, or the response to one that is malformed."""
         host = request.headers.get("Host", "").split(":")[0]
         path = request.path
-        await self.request_handler.wait_for_configuration()
-        admission = self.request_handler.admit(host, path, _read_api_key(request))
+        handler = self.request_handler
+        await handler.wait_for_configuration()
+        admission = handler.admit(host, path, _read_api_key(request))
         if isinstance(admission, Rejected):
-            await request.read()
-            return _make_rejection_response(admission)
+            return admission
         job_id = path[len(admission.queue.path) :]
         if request.method == "GET" and not job_id:
-            return _make_response(await self.request_handler.count(admission.queue))
+            return await handler.count(admission.queue)
         if len(job_id) != JOB_ID_LENGTH or not HEX_DIGITS.issuperset(job_id.lower()):
             return _make_error_response(400, "the job id must consist of 16 hexadecimal digits")
         if request.method == "GET":
-            return _make_response(await self.request_handler.show(job_id))
+            return await handler.show(job_id)
         if request.method == "DELETE":
-            return _make_response(
-                await self.request_handler.cancel(job_id, _read_time_budget_s(request))
-            )
+            return await handler.cancel(job_id, deadline_s - get_elapsed_s())
         if request.method == "POST":
-            return await self._submit(request, admission, job_id)
+            return await self._submit(request, admission, job_id, deadline_s)
         return _make_error_response(405, "the method must be POST, GET or DELETE")
 
-    async def _submit(self, request, admission, job_id: str) -> web.Response:
-        budget_s = _read_time_budget_s(request)
+    async def _submit(self, request, admission, job_id: str, deadline_s: float):
         body = await request.read()
         limit = self.request_handler.configuration_view.current.max_body_bytes
         if len(body) > limit:
@@ -146,7 +167,8 @@
             spec = decode_spec(body)
         except ValueError as error:
             return _make_error_response(400, str(error))
-        return _make_response(await self.request_handler.submit(admission, job_id, spec, budget_s))
+        budget_s = deadline_s - get_elapsed_s()
+        return await self.request_handler.submit(admission, job_id, spec, budget_s)
 
     async def stop_listening(self, timeout_s: float = STOP_TIMEOUT_S):
         """Stops accepting connections, and closes each one once its call is answered.
@@ -194,6 +216,8 @@
 
 
 def _make_response(outcome) -> web.Response:
+    if isinstance(outcome, web.Response):
+        return outcome
     if isinstance(outcome, Accepted | Cancelled):
         return _make_json_response(200, b"{}")
     if isinstance(outcome, Shown):
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -26,12 +26,14 @@
 from .http import HttpClient
 from .listener import Listener
 from .log import PlatformLog
+from .relay import Relay
 from .vms import PlatformVms
 
 SETTINGS_VARIABLE = "CAROBLEAD_SETTINGS"
 LEDGER_TOPIC = "keyed.caroblead"
 CONNECTIONS_PER_VM = 6
 CONNECTIONS_TO_STORE = 16
+CONNECTIONS_PER_PEER = 8
 EXIT_USAGE = 2
 # Fraction of the grace period of a planned stop in which callers' connections are closed after the
 # drain, and how long the others may take.
@@ -73,6 +75,14 @@
     )
 
 
+def make_relay(node: Node, http: HttpClient) -> Relay | None:
+    """Returns the way to pass calls on to peers, which serve callers at the same port."""
+    if not node.settings.relay:
+        return None
+    port = int(node.settings.callers.rsplit(":", 1)[1])
+    return Relay(node.settings.node, http, lambda: node.ledger.nodes.values(), port)
+
+
 async def serve_metrics(node: Node) -> Listener:
     """Serves the metrics of the node over HTTP, as text."""
 
@@ -97,7 +107,10 @@
     log("node:starting", zone=settings.zone, lease_s=settings.lease_s)
     store_http, vm_http = HttpClient(CONNECTIONS_TO_STORE), HttpClient(CONNECTIONS_PER_VM)
     node = make_node(settings, store_http, vm_http)
-    frontend = Frontend(node.request_handler, node.is_ready, node.metrics)
+    relay_http = HttpClient(CONNECTIONS_PER_PEER)
+    frontend = Frontend(
+        node.request_handler, node.is_ready, node.metrics, make_relay(node, relay_http)
+    )
     await node.start()
     await frontend.start(settings.callers, settings.readiness, caller_socket)
     metrics_listener = await serve_metrics(node)
@@ -109,6 +122,7 @@
     await node.close()
     await store_http.close()
     await vm_http.close()
+    await relay_http.close()
 
 
 def handle_signals(stop: Callable[[], None], reload: Callable[[], None]):
