Break two circles of imports: chain and work, gauges and program

The estimate of a chain is data that both modules use and stands with the expectation of a run; the metrics of a node are written by a function over the node, as other readers do.

--- a/caroblead/dispatch/backfill_test.py
+++ b/caroblead/dispatch/backfill_test.py
@@ -9,6 +9,7 @@
 from ..jobs.data import CrashRecord, JobQueue, JobState, StepSpec
 from ..jobs.ledger import find_state
 from ..node import program
+from ..node.gauges import write_metrics
 from ..standin.cluster import (
     find_leader,
     kill_node,
@@ -258,7 +259,7 @@
         await asyncio.sleep(1)
         leader = site.nodes[find_leader(site)]
         backfilled = leader.leader.fleet.backfilled_runs
-        assert f"caroblead_runs_backfilled_total {backfilled}" in leader.write_metrics()
+        assert f"caroblead_runs_backfilled_total {backfilled}" in write_metrics(leader)
         if kills_leader:
             await kill_node(site, find_leader(site))
             await wait_for_leader(site)
--- a/caroblead/dispatch/chain.py
+++ b/caroblead/dispatch/chain.py
@@ -1,7 +1,6 @@
 """How long the rest of a job takes, along the longest chain of its remaining steps."""
 
-from dataclasses import dataclass
-
+from .expectation import ChainEstimate
 from .work import StepWork, get_expectation
 
 # The request for advice that a step still needs is expected to be about this many VMs.
@@ -10,20 +9,6 @@
 ESTIMATE_AGE_S = 0.5
 
 
-@dataclass(slots=True, frozen=True)
-class ChainEstimate:
-    """The expected duration of the rest of a job, from the start of a step that waits.
-
-    ``remaining_s`` includes the requests for advice that are still needed. ``unplanned_s`` is how
-    much longer the chain is than the caller's estimates, by those requests and by what is expected
-    of the work itself. It was made at ``made_s``.
-    """
-
-    remaining_s: float
-    unplanned_s: float
-    made_s: float
-
-
 def estimate_chain(step: StepWork, wall_s: float) -> ChainEstimate:
     """Returns an estimate for a step, which may have been made shortly before."""
     found = step.chain
--- a/caroblead/dispatch/expectation.py
+++ b/caroblead/dispatch/expectation.py
@@ -25,3 +25,17 @@
 def expect_by_estimate(spec: StepSpec) -> Expectation:
     """Returns what the caller's estimate says about the duration of a task of a step."""
     return Expectation(spec.estimate_s, UNKNOWN_SPREAD * spec.estimate_s)
+
+
+@dataclass(slots=True, frozen=True)
+class ChainEstimate:
+    """The expected duration of the rest of a job, from the start of a step that waits.
+
+    ``remaining_s`` includes the requests for advice that are still needed. ``unplanned_s`` is how
+    much longer the chain is than the caller's estimates, by those requests and by what is expected
+    of the work itself. It was made at ``made_s``.
+    """
+
+    remaining_s: float
+    unplanned_s: float
+    made_s: float
--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -10,6 +10,7 @@
 from ..jobs.data import Job, JobState, Progress, StepProgress
 from ..jobs.ledger import JobAdded, StoredJob, find_state
 from ..jobs.record import KeyedRecord, RecordKind, encode_job, encode_progress, make_key
+from ..node.gauges import write_metrics
 from ..standin.cluster import (
     ADVISED,
     QUEUES,
@@ -281,10 +282,10 @@
         job = Job("b", "north", QUEUES["checks"], make_spec(make_step(1)), get_wall_s())
         site.ledger.append([KeyedRecord("j/b", encode_job(job))], None)
         await asyncio.sleep(1)
-        metrics.append(site.nodes[find_leader(site)].write_metrics())
+        metrics.append(write_metrics(site.nodes[find_leader(site)]))
         await kill_node(site, find_leader(site))
         await asyncio.sleep(5)
-        metrics.append(site.nodes[find_leader(site)].write_metrics())
+        metrics.append(write_metrics(site.nodes[find_leader(site)]))
         return site
 
     run_scenario(scenario)
--- a/caroblead/dispatch/learning_test.py
+++ b/caroblead/dispatch/learning_test.py
@@ -7,6 +7,7 @@
 
 from ..jobs.ledger import MAX_LEARNED_RECORDS, Ledger, apply_record
 from ..jobs.record import KeyedRecord, RecordKind, make_key
+from ..node.gauges import write_metrics
 from ..standin.cluster import (
     find_leader,
     kill_node,
@@ -62,7 +63,7 @@
         assert get_expectation(step).samples >= 30
         run = step.active[0][0]
         assert run.expected_s == pytest.approx(WORK_S, rel=0.15)
-        metrics = site.nodes[find_leader(site)].write_metrics().splitlines()
+        metrics = write_metrics(site.nodes[find_leader(site)]).splitlines()
         gauges = dict(line.split() for line in metrics if line.startswith("caroblead_durations"))
         assert float(gauges["caroblead_durations_samples"]) >= 30
         assert float(gauges["caroblead_durations_error"]) < 0.2
@@ -82,7 +83,7 @@
         leader = site.nodes[find_leader(site)].leader
         assert leader.fleet.speeds is None
         assert not leader.learning.learner.durations.queues
-        assert "durations_samples" not in site.nodes[find_leader(site)].write_metrics()
+        assert "durations_samples" not in write_metrics(site.nodes[find_leader(site)])
         return site
 
     run_scenario(scenario)
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -1,17 +1,13 @@
 """The leader's in-memory state of each open job: its waiting, running and completed tasks."""
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from ..core.resource import Resources
 from ..jobs.data import Job, JobState, Progress, RunRecord, StepKey, StepProgress, StepSpec
-from .expectation import Expectation, expect_by_estimate
+from .expectation import ChainEstimate, Expectation, expect_by_estimate
 from .fleet import Run
 from .interface import TaskName
 
-if TYPE_CHECKING:
-    from .chain import ChainEstimate
-
 
 @dataclass(slots=True)
 class StepAdvice:
@@ -74,7 +70,7 @@
     expectation: Expectation | None = None
     hold: Hold = field(default_factory=Hold)
     evicted: set[int] = field(default_factory=set)
-    chain: "ChainEstimate | None" = None
+    chain: ChainEstimate | None = None
 
     def make_task_name(self, index: int) -> TaskName:
         """Returns the name of the task with this index."""
--- a/caroblead/node/evacuation_report_test.py
+++ b/caroblead/node/evacuation_report_test.py
@@ -19,6 +19,7 @@
 )
 from ..standin.trial import EVACUATION_MS
 from ..standin.work import make_spec, make_step
+from .gauges import write_metrics
 
 
 def test_zones_are_not_evacuated_where_the_setting_is_0():
@@ -34,7 +35,7 @@
         assert [event.task.job for event in site.vm_simulator.history if event.kind == "start"] == [
             job
         ]
-        metrics.append(site.nodes["n0"].write_metrics())
+        metrics.append(write_metrics(site.nodes["n0"]))
         return site
 
     run_scenario(scenario)
@@ -49,7 +50,7 @@
         for zone in ("a", "nowhere"):
             evacuate_zone(site, zone)
         await asyncio.sleep(1)
-        metrics.extend(node.write_metrics() for node in site.nodes.values())
+        metrics.extend(write_metrics(node) for node in site.nodes.values())
         return site
 
     run_scenario(scenario)
--- a/caroblead/node/gauges.py
+++ b/caroblead/node/gauges.py
@@ -1,11 +1,15 @@
-"""Collects the gauges of a node: what it knows, and what it does as the leader."""
+"""Collects the metrics of a node: what it has counted, what it knows, and what it leads."""
 
-from __future__ import annotations
+from .metric import write_node_metrics
+from .program import Node
 
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from .program import Node
+def write_metrics(node: Node) -> str:
+    """Returns the metrics of a node as text."""
+    text = write_node_metrics(node.metrics, collect_gauges(node), collect_team_gauges(node))
+    if node.load_control is not None:
+        text += "\n".join(node.load_control.write_metrics()) + "\n"
+    return text
 
 
 def collect_gauges(node: Node) -> dict[str, float]:
--- a/caroblead/node/overload_test.py
+++ b/caroblead/node/overload_test.py
@@ -24,6 +24,7 @@
 )
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
+from .gauges import write_metrics
 
 
 def enable(monkeypatch, **switches):
@@ -111,7 +112,7 @@
         await asyncio.sleep(0.3)
         node = site.nodes[name]
         assert node.leader.state.shares.teams["north"].history == pytest.approx(1.0, abs=0.1)
-        assert 'caroblead_team_share{team="north"}' in node.write_metrics()
+        assert 'caroblead_team_share{team="north"}' in write_metrics(node)
         await asyncio.sleep(25)
         assert {find_state(node.ledger, job) for job in jobs} == {JobState.DONE}
         leader = site.nodes[find_leader(site)].leader
@@ -126,7 +127,7 @@
         site = await start_site()
         await submit(site, "n0", make_spec(make_step(4), seconds=1.0))
         await asyncio.sleep(0.5)
-        assert "team_share" not in site.nodes[find_leader(site)].write_metrics()
+        assert "team_share" not in write_metrics(site.nodes[find_leader(site)])
         await asyncio.sleep(3)
         return site
 
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -27,8 +27,7 @@
 from .configuration import ConfigurationView
 from .election import ELECTION_CHECK_INTERVAL_S, Election, find_strong, list_candidates
 from .evacuation import EvacuationView
-from .gauges import collect_gauges, collect_team_gauges
-from .metric import NodeMetrics, write_node_metrics
+from .metric import NodeMetrics
 from .notifier import CompletionNotifier
 from .peer import Peers
 from .registry import Registry
@@ -355,13 +354,6 @@
             task.cancel()
         await self.peers.close()
 
-    def write_metrics(self) -> str:
-        """Returns the metrics of this node as text."""
-        text = write_node_metrics(self.metrics, collect_gauges(self), collect_team_gauges(self))
-        if self.load_control is not None:
-            text += "\n".join(self.load_control.write_metrics()) + "\n"
-        return text
-
 
 async def _resign(leader: Leader, successor: str):
     try:
--- a/caroblead/node/rejection_test.py
+++ b/caroblead/node/rejection_test.py
@@ -19,6 +19,7 @@
 )
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
+from .gauges import write_metrics
 from .requesthandler import Accepted, Admission, Rejected
 
 # Four tasks of half a second on 16 cores: eight jobs a second can be served.
@@ -90,7 +91,7 @@
             assert is_rejected(outcome) and outcome.fault.retry_after_s >= 1
         assert isinstance(await send(site, "n0", queue="reviews"), Accepted)
         await asyncio.sleep(5)
-        assert "caroblead_jobs_rejected_total" in site.nodes["n0"].write_metrics()
+        assert "caroblead_jobs_rejected_total" in write_metrics(site.nodes["n0"])
         return site
 
     judge(run_scenario(scenario))
@@ -101,7 +102,7 @@
         site = await start_site()
         await publish_report(site)
         assert isinstance(await send(site, "n0"), Accepted)
-        assert "rejected" not in site.nodes["n0"].write_metrics()
+        assert "rejected" not in write_metrics(site.nodes["n0"])
         await asyncio.sleep(5)
         return site
 
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -17,6 +17,7 @@
 from ..core.outcome import describe_problem
 from ..node.configuration import ConfigurationView
 from ..node.evacuation import EvacuationView
+from ..node.gauges import write_metrics
 from ..node.program import Node, NodeAdapters
 from ..node.registry import Registry
 from ..node.setting import NodeSettings, load_node_settings, merge_settings
@@ -87,7 +88,7 @@
     """Serves the metrics of the node over HTTP, as text."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
-        return web.Response(text=node.write_metrics())
+        return web.Response(text=write_metrics(node))
 
     listener = Listener(answer)
     await listener.start(node.settings.host, node.settings.metrics_port)
