Answer 504 to a passed-on call whose node stops, and keep a peer's Retry-After

Read in the diff: when the time of a planned stop is over, open calls were told that they had no effect, also one that a peer may have stored by then. It is in doubt now (a test fails without the change). A peer's 429 lost its Retry-After on the way.

--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -132,7 +132,14 @@
     async def _pass_on(self, request: web.BaseRequest, body: bytes, deadline_s: float):
         """Returns what came of passing a call on, or ``None`` if it certainly had no effect."""
         started_s = get_elapsed_s()
-        outcome = await self.relay.pass_on(request, body, deadline_s)
+        try:
+            outcome = await self.relay.pass_on(request, body, deadline_s)
+        except asyncio.CancelledError:
+            if self.rejection_of_open_calls is None or request.method == "GET":
+                raise
+            # The time for a planned stop is over, and the peer may have executed the call.
+            asyncio.current_task().uncancel()
+            return self.relay.make_doubt("the node stops before a peer has answered")
         self.metrics.record_span("call_passed_on", get_elapsed_s() - started_s)
         return outcome
 
--- a/caroblead/platform/http.py
+++ b/caroblead/platform/http.py
@@ -25,10 +25,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Reply:
-    """Status and body of an HTTP response."""
+    """Status and body of an HTTP response, and its ``Retry-After`` in seconds if it has one."""
 
     status: int
     body: bytes
+    retry_after: str = ""
 
     def decode(self) -> dict:
         """Returns the JSON object in the body.
@@ -72,7 +73,8 @@
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as response:
-                return Reply(response.status, await response.read())
+                retry_after = response.headers.get("Retry-After", "")
+                return Reply(response.status, await response.read(), retry_after)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise CallFailedError(f"can't connect: {type(error).__name__}", False) from None
         except CLIENT_ERRORS as error:
--- a/caroblead/platform/relay.py
+++ b/caroblead/platform/relay.py
@@ -66,7 +66,7 @@
             except CallFailedError as error:
                 self.choice.note_failure(peer, get_elapsed_s())
                 if error.sent and not is_question:
-                    return self._make_doubt(peer, str(error))
+                    return self.make_doubt(f"{peer.node} did not answer in time: {error}")
                 continue
             log_routine(
                 "call:passed_on", method=request.method, peer=peer.node, status=reply.status
@@ -87,10 +87,13 @@
         url = f"http://{peer.host}:{self.port}{request.raw_path}"
         return await self.http.call(request.method, url, timeout_s, body, headers)
 
-    def _make_doubt(self, peer: NodeRecord, detail: str) -> InDoubt:
-        detail = f"{peer.node} did not answer in time: {detail}"
+    def make_doubt(self, detail: str) -> InDoubt:
+        """Returns the outcome of a call that a peer may have executed or may still execute."""
         return InDoubt(Fault(Reason.LOG_DOWN, Step.ROUTE, self.node, detail))
 
 
 def _make_response(reply: Reply) -> web.Response:
-    return web.Response(status=reply.status, body=reply.body, content_type="application/json")
+    response = web.Response(status=reply.status, body=reply.body, content_type="application/json")
+    if reply.retry_after:
+        response.headers["Retry-After"] = reply.retry_after
+    return response
--- a/caroblead/platform/relay_test.py
+++ b/caroblead/platform/relay_test.py
@@ -44,7 +44,9 @@
         site.faults_by_node["n0"].down = True
         await asyncio.sleep(OUTAGE_S)
         try:
-            await scenario(site, RpcClient(http, front))
+            caller = RpcClient(http, front)
+            caller.frontend = front
+            await scenario(site, caller)
         finally:
             await http.close()
             await front.stop_listening()
@@ -113,3 +115,32 @@
         assert (await caller.call(method, f"/c/{JOB}", body, **headers)).status == status
 
     run_with_peer(scenario, serve_silent_peer)
+
+
+@pytest.mark.parametrize(("method", "status"), [("POST", 504), ("DELETE", 504), ("GET", 503)])
+def test_call_that_was_passed_on_when_its_node_stops_is_in_doubt(method, status):
+    async def scenario(site, caller):
+        body = BODY if method == "POST" else None
+        call = asyncio.create_task(caller.call(method, f"/c/{JOB}", body))
+        await asyncio.sleep(0.1)
+        await caller.frontend.stop_listening(0.4)
+        assert (await call).status == status
+
+    run_with_peer(scenario, serve_silent_peer)
+
+
+async def serve_peer_that_is_full(site) -> Listener:
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(status=429, headers={"Retry-After": "7"})
+
+    listener = Listener(answer)
+    await listener.start("127.0.0.1", 0)
+    return listener
+
+
+def test_answer_of_a_peer_keeps_the_time_after_which_to_try_again():
+    async def scenario(site, caller):
+        reply = await caller.call("POST", f"/c/{JOB}", BODY)
+        assert (reply.status, reply.retry_after) == (429, "7")
+
+    run_with_peer(scenario, serve_peer_that_is_full)
