--- a/caroblead/bench/durations.py
+++ b/caroblead/bench/durations.py
@@ -16,9 +16,9 @@
 import cyclopts
 
 from ..core.resource import Resources
-from ..dispatch.duration import RunFeatures, find_size, is_sampled, predict
-from ..dispatch.learner import Learner, ObservedRun, find_slowest, learn
-from ..dispatch.speed import center_speeds
+from ..dispatch.learning.duration import RunFeatures, find_size, is_sampled, predict
+from ..dispatch.learning.learner import Learner, ObservedRun, find_slowest, learn
+from ..dispatch.learning.speed import center_speeds
 
 VMS = 176
 TEAMS = 20
--- a/caroblead/dispatch/advicequeue.py
+++ b/caroblead/dispatch/advice/advicequeue.py
@@ -11,9 +11,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from ..core.logsink import log
-from ..core.timer import await_and_log_errors
-from .interface import Advice
+from ...core.logsink import log
+from ...core.timer import await_and_log_errors
+from ..interface import Advice
 
 # Added to the expected duration of a request to get its timeout.
 CALL_SLACK_S = 0.6
--- a/caroblead/dispatch/advicequeue_test.py
+++ b/caroblead/dispatch/advice/advicequeue_test.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..core.loop import run_in_virtual_time
+from ...core.loop import run_in_virtual_time
+from ..interface import Advice
 from .advicequeue import AdviceQueue, Adviser
-from .interface import Advice
 
 
 def play(scenario):
--- a/caroblead/dispatch/advicesize.py
+++ b/caroblead/dispatch/advice/advicesize.py
@@ -11,11 +11,11 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from ..core.resource import fits
-from .eviction import count_fit
-from .fleet import Fleet, Reservation, VmRow, is_usable
-from .rank import Tier
-from .work import StepAdvice, StepWork, get_booked_need
+from ...core.resource import fits
+from ..eviction import count_fit
+from ..fleet import Fleet, Reservation, VmRow, is_usable
+from ..rank import Tier
+from ..work import StepAdvice, StepWork, get_booked_need
 
 # The share assumed for a queue of which nothing is known, and the number of answers about VMs
 # that weigh as much as this assumption.
--- a/caroblead/dispatch/advicesize_test.py
+++ b/caroblead/dispatch/advice/advicesize_test.py
@@ -4,8 +4,14 @@
 
 import pytest
 
-from ..core.resource import Resources
-from ..jobs.data import AdviceTimes, CrashRecord, JobQueue, StepSpec
+from ...core.resource import Resources
+from ...jobs.data import AdviceTimes, CrashRecord, JobQueue, StepSpec
+from ..fleet import Reservation, Run, book_run
+from ..interface import Configuration, TaskName
+from ..planning import plan_starts
+from ..planning_test import NOW_S, make_fleet, make_steps
+from ..rank import Tier
+from ..tick import MAX_VMS_PER_REQUEST, store_answer
 from .advicesize import (
     MIN_VMS_PER_REQUEST,
     AdviceShares,
@@ -14,12 +20,6 @@
     learn_allowed_share,
     select_requests,
 )
-from .fleet import Reservation, Run, book_run
-from .interface import Configuration, TaskName
-from .planning import plan_starts
-from .planning_test import NOW_S, make_fleet, make_steps
-from .rank import Tier
-from .tick import MAX_VMS_PER_REQUEST, store_answer
 
 QUEUE = JobQueue("q", "h", "/p/", "s", latency_s=5.0, advice=AdviceTimes(0.715, 0.01, 1.5))
 VM = Resources(16_000, 64_000)
--- a/caroblead/dispatch/features.py
+++ b/caroblead/dispatch/features.py
@@ -10,9 +10,9 @@
     ``evacuation_s`` is within how many seconds no task may start in an availability zone that the
     operators evacuate; 0 means that they never evacuate one. The others are described where they
     are decided: ``admission`` in :mod:`caroblead.dispatch.loadreport`, ``fair_share`` in
-    :mod:`caroblead.dispatch.share`, ``learned_durations`` in :mod:`caroblead.dispatch.duration`,
-    ``backfill`` in :mod:`caroblead.dispatch.backfill` and ``sized_advice`` in
-    :mod:`caroblead.dispatch.advicesize`.
+    :mod:`caroblead.dispatch.share`, ``learned_durations`` in
+    :mod:`caroblead.dispatch.learning.duration`, ``backfill`` in :mod:`caroblead.dispatch.backfill`
+    and ``sized_advice`` in :mod:`caroblead.dispatch.advice.advicesize`.
     """
 
     evacuation_s: float = 0.0
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -10,7 +10,7 @@
 from ..core.resource import NOTHING, Resources, add, fits, subtract
 from ..jobs.data import StepKey
 from .interface import ListedVm, Target, TaskName
-from .speed import SpeedTable
+from .learning.speed import SpeedTable
 
 # The fraction by which the clock of a VM may be slow.
 CLOCK_DRIFT = 0.02
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -35,7 +35,7 @@
     list_gone,
     note_late_order,
 )
-from .learning import Learning
+from .learning.learning import Learning
 from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
--- a/caroblead/dispatch/duration.py
+++ b/caroblead/dispatch/learning/duration.py
@@ -18,8 +18,8 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 
-from ..core.resource import Resources
-from .expectation import UNKNOWN_SPREAD, Expectation
+from ...core.resource import Resources
+from ..expectation import UNKNOWN_SPREAD, Expectation
 from .samplewindow import (
     Sample,
     SampleWindow,
--- a/caroblead/dispatch/duration_test.py
+++ b/caroblead/dispatch/learning/duration_test.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ..bench.durations import CUSTOMERS, WAYS, find_quantile, generate_runs, replay
-from ..core.resource import Resources
+from ...bench.durations import CUSTOMERS, WAYS, find_quantile, generate_runs, replay
+from ...core.resource import Resources
 from .duration import (
     MAX_QUEUES,
     MAX_TEAM_ENTRIES,
--- a/caroblead/dispatch/learnedsnapshot.py
+++ b/caroblead/dispatch/learning/learnedsnapshot.py
@@ -11,8 +11,8 @@
 
 import orjson
 
-from ..jobs.ledger import MALFORMED
-from ..jobs.record import COMPRESSION_LEVEL
+from ...jobs.ledger import MALFORMED
+from ...jobs.record import COMPRESSION_LEVEL
 from .duration import DurationTable, QueueDurations, put_queue, put_step, put_team_entry
 from .samplewindow import Sample, SampleWindow, add_sample
 from .speed import PRIOR_VARIANCE, SpeedEstimate, SpeedTable, get_estimate
--- a/caroblead/dispatch/learning.py
+++ b/caroblead/dispatch/learning/learning.py
@@ -9,10 +9,14 @@
 import math
 from collections.abc import Callable
 
-from ..core.clock import get_elapsed_s, get_wall_s
-from ..core.logsink import log
-from ..core.timer import Timer, call_and_log_errors
-from ..jobs.record import KeyedRecord, RecordKind, make_key
+from ...core.clock import get_elapsed_s, get_wall_s
+from ...core.logsink import log
+from ...core.timer import Timer, call_and_log_errors
+from ...jobs.record import KeyedRecord, RecordKind, make_key
+from ..fleet import Run, RunPhase, VmRow
+from ..interface import EndReason
+from ..term import TermState
+from ..work import JobWork, StepWork
 from .duration import (
     MIN_WORK_S,
     RunFeatures,
@@ -22,8 +26,6 @@
     predict,
     set_running,
 )
-from .fleet import Run, RunPhase, VmRow
-from .interface import EndReason
 from .learnedsnapshot import (
     QUEUES,
     SPEEDS,
@@ -39,8 +41,6 @@
 from .learner import Learner, ObservedRun, find_slowest, learn
 from .speed import center_speeds
 from .speedwatch import log_change
-from .term import TermState
-from .work import JobWork, StepWork
 
 REFRESH_INTERVAL_S = 1.0
 # One record is written in each such interval, in turn.
--- a/caroblead/dispatch/learning_test.py
+++ b/caroblead/dispatch/learning/learning_test.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from ..jobs.ledger import MAX_LEARNED_RECORDS, Ledger, apply_record
-from ..jobs.record import KeyedRecord, RecordKind, make_key
-from ..node.gauges import write_metrics
-from ..standin.cluster import (
+from ...jobs.ledger import MAX_LEARNED_RECORDS, Ledger, apply_record
+from ...jobs.record import KeyedRecord, RecordKind, make_key
+from ...node.gauges import write_metrics
+from ...standin.cluster import (
     find_leader,
     kill_node,
     run_scenario,
@@ -16,11 +16,11 @@
     submit,
     wait_for_leader,
 )
-from ..standin.work import make_spec, make_step
+from ...standin.work import make_spec, make_step
+from ..work import get_expectation
 from .duration import RunFeatures, predict
 from .learnedsnapshot import QUEUES, SPEEDS, TEAMS
 from .learning import SNAPSHOT_INTERVAL_S
-from .work import get_expectation
 
 LEARNED = {"learned_durations": True}
 # The steps of the stand-in have an estimate of 0.5 s.
@@ -140,8 +140,8 @@
         raise ZeroDivisionError
 
     for name in ("learn", "predict"):
-        monkeypatch.setattr(f"caroblead.dispatch.learning.{name}", fail)
-    monkeypatch.setattr("caroblead.dispatch.speedwatch.observe_progress", fail)
+        monkeypatch.setattr(f"caroblead.dispatch.learning.learning.{name}", fail)
+    monkeypatch.setattr("caroblead.dispatch.learning.speedwatch.observe_progress", fail)
 
     async def scenario():
         site = await start_site(**LEARNED)
@@ -161,7 +161,8 @@
     """Guards against a term that fails because of a snapshot of another build."""
     lines = []
     monkeypatch.setattr(
-        "caroblead.dispatch.learning.log", lambda name, **fields: lines.append((name, fields))
+        "caroblead.dispatch.learning.learning.log",
+        lambda name, **fields: lines.append((name, fields)),
     )
 
     async def scenario():
--- a/caroblead/dispatch/speedwatch.py
+++ b/caroblead/dispatch/learning/speedwatch.py
@@ -1,8 +1,8 @@
 """Passes the progress that VMs report of their runs to the learned speeds."""
 
-from ..core.logsink import log
-from .fleet import Fleet, RunPhase, VmRow
-from .interface import HoldAnswer
+from ...core.logsink import log
+from ..fleet import Fleet, RunPhase, VmRow
+from ..interface import HoldAnswer
 from .speed import ProgressReport, get_estimate, observe_progress
 
 
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -6,8 +6,8 @@
 
 from ..core.timer import TimerService
 from ..jobs.ledger import Ledger
-from .advicequeue import AdviceQueue
-from .advicesize import AdviceShares
+from .advice.advicequeue import AdviceQueue
+from .advice.advicesize import AdviceShares
 from .commit import CommitQueue
 from .crash import CrashTable
 from .evacuation import EvacuationState, ZoneReading
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -8,7 +8,7 @@
 from ..core.resource import NOTHING, Resources, fits
 from ..core.timer import await_and_log_errors, call_and_log_errors
 from ..jobs.data import JobState, StepKey
-from .advicesize import (
+from .advice.advicesize import (
     choose_vms_for_step,
     count_new_answers,
     get_allowed_share,
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -16,10 +16,10 @@
 )
 from .health import record_progress
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
+from .learning.speedwatch import watch_progress
 from .orders import OrderSender
 from .pacing import list_runs_to_pace, update_pace
 from .report import Reports
-from .speedwatch import watch_progress
 
 # A renewal is a long poll: it returns at the end of a run, or after this long without one.
 POLL_WAIT_S = 0.7
--- a/caroblead/node/peer.py
+++ b/caroblead/node/peer.py
@@ -4,7 +4,7 @@
 for the state of a job.
 """
 
-from ..dispatch.advicequeue import Adviser
+from ..dispatch.advice.advicequeue import Adviser
 from ..dispatch.interface import Advice, AdviceService
 from ..events.clock import LogicalClock
 from ..jobs.data import JobState
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -6,7 +6,7 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.timer import TimerService, await_and_log_errors
-from ..dispatch.advicequeue import AdviceQueue, Adviser
+from ..dispatch.advice.advicequeue import AdviceQueue, Adviser
 from ..dispatch.interface import AdviceService, Batch, Configuration, KeyedLog, VmControl
 from ..dispatch.leader import Leader
 from ..dispatch.term import LeaderDependencies
--- a/caroblead/standin/overload.py
+++ b/caroblead/standin/overload.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..core.resource import Resources
-from ..dispatch.advicesize import (
+from ..dispatch.advice.advicesize import (
     AdviceShares,
     choose_vms_for_step,
     count_new_answers,
