Log which configuration decided a call, and how late a version came into force

Change: call:rejected has the version and the age of the copy, call:passed_on the versions of sender and peer (the peer tells its own in a header of its answer), configuration:late and the span configuration_lag say how long after it was stored a version came into force at most. No decision changes.

--- a/caroblead/node/configuration.py
+++ b/caroblead/node/configuration.py
@@ -19,6 +19,11 @@
         self.decode = decode
         self.current: Configuration | None = None
 
+    @property
+    def version(self) -> int:
+        """The version in force, or 0 before the first one is read."""
+        return self.current.version if self.current is not None else 0
+
     def consume(self, batch: Batch, complete: bool):
         """Applies records of the operators' log.
 
--- a/caroblead/node/gauges.py
+++ b/caroblead/node/gauges.py
@@ -20,9 +20,7 @@
         "term": float(node.ledger.term.number if node.ledger.term else 0),
         "jobs_open": float(len(node.ledger.jobs)),
         "jobs_ended": float(len(node.ledger.ended)),
-        "configuration_version": float(
-            node.configuration_view.current.version if node.configuration_view.current else 0
-        ),
+        "configuration_version": float(node.configuration_view.version),
         "configuration_age_seconds": node.configuration_tail.get_age_s(),
         "ledger_age_seconds": node.ledger_tail.get_age_s(),
         "appends_total": float(node.appender.appends),
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -238,10 +238,20 @@
             self.leader.on_listed()
 
     def _consume_operators(self, batch: Batch, complete: bool):
+        before = self.configuration_view.version
         self.configuration_view.consume(batch, complete)
+        if 0 < before < self.configuration_view.version:
+            self._record_lag()
         if self.settings.evacuation_ms > 0:
             self.evacuation_view.consume(batch, complete)
 
+    def _record_lag(self):
+        """Records how late a version is in force at most: it was not there at the last read."""
+        lag_s = self.configuration_tail.get_age_s()
+        self.metrics.record_span("configuration_lag", lag_s)
+        if lag_s > MAX_READY_AGE_S:
+            log("configuration:late", version=self.configuration_view.version, lag_s=lag_s)
+
     # Leading.
 
     def _begin_term(self, number: int, term_confirmed_s: float):
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -134,12 +134,14 @@
             )
         queue = find_queue(configuration, host, path)
         if queue is None:
-            return self._reject(Reason.NO_SUCH_QUEUE, Step.ADMIT, f"no queue at {host}{path}")
+            return self._reject_by_copy(
+                Reason.NO_SUCH_QUEUE, Step.ADMIT, f"no queue at {host}{path}"
+            )
         if queue.open_to_all:
             return Admission(queue, configuration.keys.get(key or "", ""))
         age_s = self.configuration_tail.get_age_s()
         if self.settings.strict_keys and age_s > self.settings.revoke_ms / 1000 * MAX_AGE_FRACTION:
-            return self._reject(
+            return self._reject_by_copy(
                 Reason.NO_CONFIG,
                 Step.CHECK_KEY,
                 f"the configuration was last read {age_s:.1f} s ago",
@@ -148,9 +150,23 @@
         team = configuration.keys.get(key or "")
         if team is None:
             reason = Reason.BAD_KEY if key else Reason.NO_KEY
-            return self._reject(reason, Step.CHECK_KEY, "the key is unknown")
+            return self._reject_by_copy(reason, Step.CHECK_KEY, "the key is unknown")
         return Admission(queue, team)
 
+    def _reject_by_copy(
+        self, reason: Reason, step: Step, detail: str, retry_s: float = 0.0
+    ) -> Rejected:
+        """Rejects a request by this node's copy of the configuration, and logs which copy it is."""
+        log_routine(
+            "call:rejected",
+            reason=reason,
+            step=step,
+            detail=detail,
+            configuration=self.configuration_view.version,
+            configuration_age_s=round(self.configuration_tail.get_age_s(), 3),
+        )
+        return Rejected(self._make_fault(reason, step, detail, retry_s))
+
     async def submit(
         self, admission: Admission, job_id: str, spec: JobSpec, budget_s: float
     ) -> Accepted | Rejected | InDoubt:
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -21,7 +21,7 @@
 )
 from .jobs import decode_spec, encode_state
 from .listener import Listener
-from .relay import Relay
+from .relay import VERSION_HEADER, VIA_HEADER, Relay
 
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
@@ -127,7 +127,10 @@
             body = await request.read()
             if self.relay is not None and outcome.fault.reason in NODE_REASONS:
                 outcome = await self._pass_on(request, body, deadline_s) or outcome
-        return _make_response(outcome)
+        response = _make_response(outcome)
+        if VIA_HEADER in request.headers:
+            response.headers[VERSION_HEADER] = str(self.request_handler.configuration_view.version)
+        return response
 
     async def _pass_on(self, request: web.BaseRequest, body: bytes, deadline_s: float):
         """Returns what came of passing a call on, or ``None`` if it certainly had no effect."""
--- a/caroblead/platform/http.py
+++ b/caroblead/platform/http.py
@@ -1,7 +1,8 @@
 """HTTP client for all calls to the platform."""
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import aiohttp
 import orjson
@@ -25,11 +26,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Reply:
-    """Status and body of an HTTP response, and its ``Retry-After`` in seconds if it has one."""
+    """Status, body and headers of an HTTP response."""
 
     status: int
     body: bytes
-    retry_after: str = ""
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+    @property
+    def retry_after(self) -> str:
+        """The ``Retry-After`` of the response in seconds, or an empty string."""
+        return self.headers.get("Retry-After", "")
 
     def decode(self) -> dict:
         """Returns the JSON object in the body.
@@ -73,8 +79,7 @@
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as response:
-                retry_after = response.headers.get("Retry-After", "")
-                return Reply(response.status, await response.read(), retry_after)
+                return Reply(response.status, await response.read(), response.headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise CallFailedError(f"can't connect: {type(error).__name__}", False) from None
         except CLIENT_ERRORS as error:
--- a/caroblead/platform/relay.py
+++ b/caroblead/platform/relay.py
@@ -18,6 +18,8 @@
 from .http import CallFailedError, HttpClient, Reply
 
 VIA_HEADER = "Via"
+# In the answer to a call that was passed on: the version of the configuration at the peer.
+VERSION_HEADER = "Configuration-Version"
 # A caller who waits for an answer gets none if there is less time left.
 MIN_RELAY_S = 0.1
 # A question about a job is asked again at little cost, so a silent peer is given up soon.
@@ -30,6 +32,7 @@
     """The peers of a node as a way to serve calls that it can't serve itself.
 
     ``list_peers`` returns the nodes that are known, and ``port`` is where they serve callers.
+    ``get_version`` returns the version of this node's configuration.
     """
 
     def __init__(
@@ -38,8 +41,10 @@
         http: HttpClient,
         list_peers: Callable[[], Iterable[NodeRecord]],
         port: int,
+        get_version: Callable[[], int] = lambda: 0,
     ):
         self.node = node
+        self.get_version = get_version
         self.http = http
         self.list_peers = list_peers
         self.port = port
@@ -69,7 +74,12 @@
                     return self.make_doubt(f"{peer.node} did not answer in time: {error}")
                 continue
             log_routine(
-                "call:passed_on", method=request.method, peer=peer.node, status=reply.status
+                "call:passed_on",
+                method=request.method,
+                peer=peer.node,
+                status=reply.status,
+                own_version=self.get_version(),
+                peer_version=reply.headers.get(VERSION_HEADER),
             )
             if reply.status != REJECTED_STATUS:
                 return _make_response(reply)
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -81,7 +81,13 @@
     if not node.settings.relay:
         return None
     port = int(node.settings.callers.rsplit(":", 1)[1])
-    return Relay(node.settings.node, http, lambda: node.ledger.nodes.values(), port)
+    return Relay(
+        node.settings.node,
+        http,
+        lambda: node.ledger.nodes.values(),
+        port,
+        lambda: node.configuration_view.version,
+    )
 
 
 async def serve_metrics(node: Node) -> Listener:
