--- a/caroblead/node/lagging_test.py
+++ b/caroblead/node/lagging_test.py
@@ -13,7 +13,7 @@
     submit,
 )
 from ..standin.work import make_spec, make_step
-from .requesthandler import Cancelled, Rejected, Shown
+from .answer import Cancelled, Rejected, Shown
 
 # The slow link transfers a record in this time, and the leader alone writes four records a second.
 READ_DELAY_S = 0.4
@@ -105,7 +105,7 @@
         assert lagging.configuration_view.current.version < 49
         assert current.is_ready()
         assert not lagging.is_ready()
-        answer = lagging.request_handler.admit("x.example", "/c/", KEY)
+        answer = lagging.access.admit("x.example", "/c/", KEY)
         assert isinstance(answer, Rejected)
         assert answer.fault.reason is Reason.NO_CONFIG
         return site
--- a/caroblead/node/loadreplay_test.py
+++ b/caroblead/node/loadreplay_test.py
@@ -19,7 +19,7 @@
 from ..standin.cluster import SERVICE, resize_vm, run_scenario, start_site
 from ..standin.trial import check_site
 from ..standin.work import make_spec
-from .requesthandler import Accepted, Admission, Rejected
+from .answer import Accepted, Admission, Rejected
 
 SAVES = JobQueue("saves", "x.example", "/s/", SERVICE, 0, 3, stretch=1.5, latency_s=0.3)
 MARKS = JobQueue("marks", "x.example", "/m/", SERVICE, 2, 3, stretch=4.0, latency_s=3.0)
--- a/caroblead/node/permission_test.py
+++ b/caroblead/node/permission_test.py
@@ -22,7 +22,7 @@
 )
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
-from .requesthandler import Admission
+from .answer import Admission
 
 # The first version of the configuration in which the key is withdrawn.
 WITHDRAWN_IN = 2
@@ -38,7 +38,7 @@
 
 
 def admit(site, name):
-    return site.nodes[name].request_handler.admit("x.example", "/c/1", KEY)
+    return site.nodes[name].access.admit("x.example", "/c/1", KEY)
 
 
 async def start_site_with_key():
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -22,6 +22,7 @@
     apply_record,
 )
 from ..jobs.record import KeyedRecord, NodeRecord, RecordKind, encode_node, make_key
+from .access import AccessControl
 from .admission import LoadControl
 from .appender import Appender, AppendResult
 from .configuration import ConfigurationView
@@ -120,10 +121,9 @@
         self.notifier.ask_leader = self._ask_leader
         self.peers.notifier = self.notifier
         self.load_control = LoadControl() if settings.admission else None
+        self.access = AccessControl(settings, configuration_view, self.configuration_tail)
         self.request_handler = RequestHandler(
-            settings,
-            configuration_view,
-            self.configuration_tail,
+            self.access,
             self.ledger_tail,
             self.appender,
             self.notifier,
--- a/caroblead/node/rejection_test.py
+++ b/caroblead/node/rejection_test.py
@@ -19,8 +19,8 @@
 )
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
+from .answer import Accepted, Admission, Rejected
 from .gauges import write_metrics
-from .requesthandler import Accepted, Admission, Rejected
 
 # Four tasks of half a second on 16 cores: eight jobs a second can be served.
 SPEC = make_spec(make_step(4), seconds=0.5)
--- a/caroblead/node/rejectionload_test.py
+++ b/caroblead/node/rejectionload_test.py
@@ -13,8 +13,8 @@
     submit,
     wait_for_leader,
 )
+from .answer import Accepted
 from .rejection_test import SPEC, is_rejected, judge, send
-from .requesthandler import Accepted
 
 # How long the work that was accepted during an overload takes to end.
 DRAIN_S = 60.0
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -6,27 +6,30 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from ..core.clock import get_wall_s
 from ..core.logsink import log, log_routine
 from ..core.outcome import Fault, Reason, Step
-from ..core.timer import wait_for_event
 from ..dispatch.interface import ListedVm, find_service
 from ..jobs.data import FINAL_STATES, Job, JobQueue, JobSpec, JobState
 from ..jobs.ledger import Ledger, count_waiting, find_state
 from ..jobs.record import KeyedRecord, RecordKind, encode_job, make_key
+from .access import AccessControl
 from .admission import LoadControl, Verdict, can_ever_run
+from .answer import (
+    RETRY_AFTER_S,
+    Accepted,
+    Admission,
+    Cancelled,
+    Counted,
+    InDoubt,
+    Rejected,
+    Shown,
+)
 from .appender import Appender, AppendResult
-from .configuration import MAX_AGE_FRACTION, ConfigurationView, find_queue
 from .notifier import CompletionNotifier
-from .setting import NodeSettings
 from .tail import Tail
 
-# When a caller may retry after a rejection whose cause is expected to pass soon.
-RETRY_AFTER_S = 1.0
-# How long a call on a node that has just started waits for the first read of the configuration.
-CONFIGURATION_TIMEOUT_S = 0.5
 # An answer is sent this long before the caller's deadline.
 ANSWER_MARGIN_S = 0.2
 # How long an unknown job is searched for in the log before the caller is told that there is none.
@@ -41,62 +44,12 @@
 REJECTION_LOOKUP_S = 0.1
 
 
-@dataclass(slots=True, frozen=True)
-class Accepted:
-    """The job is stored and will run; ``known_before`` tells that its id was accepted earlier."""
-
-    known_before: bool = False
-
-
-@dataclass(slots=True, frozen=True)
-class Shown:
-    """The state of a job."""
-
-    state: JobState
-
-
-@dataclass(slots=True, frozen=True)
-class Cancelled:
-    """The job is cancelled, or had already ended."""
-
-
-@dataclass(slots=True, frozen=True)
-class Counted:
-    """The number of jobs in a queue of which no task has started."""
-
-    waiting: int
-
-
-@dataclass(slots=True, frozen=True)
-class Rejected:
-    """The request had no effect and won't have any later."""
-
-    fault: Fault
-
-
-@dataclass(slots=True, frozen=True)
-class InDoubt:
-    """The request may have taken effect, or may still do so."""
-
-    fault: Fault
-
-
-@dataclass(slots=True, frozen=True)
-class Admission:
-    """The queue and the team of a request whose key was accepted."""
-
-    queue: JobQueue
-    team: str
-
-
 class RequestHandler:
     """Decides on callers' requests and carries them out."""
 
     def __init__(
         self,
-        settings: NodeSettings,
-        configuration_view: ConfigurationView,
-        configuration_tail: Tail,
+        access: AccessControl,
         ledger_tail: Tail,
         appender: Appender,
         notifier: CompletionNotifier,
@@ -104,9 +57,8 @@
         load_control: LoadControl | None = None,
         get_vms: Callable[[], dict[str, ListedVm]] = dict,
     ):
-        self.settings = settings
-        self.configuration_view = configuration_view
-        self.configuration_tail = configuration_tail
+        self.node = access.settings.node
+        self.access = access
         self.ledger_tail = ledger_tail
         self.appender = appender
         self.notifier = notifier
@@ -114,59 +66,6 @@
         self.load_control = load_control
         self.get_vms = get_vms
 
-    async def wait_for_configuration(self):
-        """Waits a moment for the configuration on a node that has just started.
-
-        A call that came during the start is answered sooner than if its caller had to try again.
-        """
-        if self.configuration_view.current is None:
-            await wait_for_event(self.configuration_tail.answered, CONFIGURATION_TIMEOUT_S)
-
-    def admit(self, host: str, path: str, key: str | None) -> Admission | Rejected:
-        """Returns the queue of a request and the team of its key, or why it is rejected."""
-        configuration = self.configuration_view.current
-        if configuration is None:
-            return self._reject(
-                Reason.NO_CONFIG,
-                Step.ADMIT,
-                "the node has not read its configuration yet",
-                RETRY_AFTER_S,
-            )
-        queue = find_queue(configuration, host, path)
-        if queue is None:
-            return self._reject_by_copy(
-                Reason.NO_SUCH_QUEUE, Step.ADMIT, f"no queue at {host}{path}"
-            )
-        if queue.open_to_all:
-            return Admission(queue, configuration.keys.get(key or "", ""))
-        age_s = self.configuration_tail.get_age_s()
-        if self.settings.strict_keys and age_s > self.settings.revoke_ms / 1000 * MAX_AGE_FRACTION:
-            return self._reject_by_copy(
-                Reason.NO_CONFIG,
-                Step.CHECK_KEY,
-                f"the configuration was last read {age_s:.1f} s ago",
-                RETRY_AFTER_S,
-            )
-        team = configuration.keys.get(key or "")
-        if team is None:
-            reason = Reason.BAD_KEY if key else Reason.NO_KEY
-            return self._reject_by_copy(reason, Step.CHECK_KEY, "the key is unknown")
-        return Admission(queue, team)
-
-    def _reject_by_copy(
-        self, reason: Reason, step: Step, detail: str, retry_s: float = 0.0
-    ) -> Rejected:
-        """Rejects a request by this node's copy of the configuration, and logs which copy it is."""
-        log_routine(
-            "call:rejected",
-            reason=reason,
-            step=step,
-            detail=detail,
-            configuration=self.configuration_view.version,
-            configuration_age_s=round(self.configuration_tail.get_age_s(), 3),
-        )
-        return Rejected(self._make_fault(reason, step, detail, retry_s))
-
     async def submit(
         self, admission: Admission, job_id: str, spec: JobSpec, budget_s: float
     ) -> Accepted | Rejected | InDoubt:
@@ -175,7 +74,7 @@
         if find_state(ledger, job_id) is not None:
             self._log_answer("job:accepted_before", job_id, admission)
             return Accepted(known_before=True)
-        if self.appender.lost and self.configuration_tail.get_age_s() > LOG_LOST_AGE_S:
+        if self.appender.lost and self.access.tail.get_age_s() > LOG_LOST_AGE_S:
             log_routine("job:refused", job=job_id, queue=admission.queue.name, reason="log_lost")
             return Rejected(
                 self._make_fault(
@@ -214,7 +113,7 @@
         key = make_key(RecordKind.JOB, job.id)
         if control.is_in_doubt(job.id) or self.appender.is_pending(key):
             return self._note_not_rejected(verdict, job, "an earlier attempt is not settled")
-        configuration = self.configuration_view.current
+        configuration = self.access.view.current
         service = find_service(configuration, job.queue)
         team = configuration.teams.get(job.team)
         if not can_ever_run(job.spec, service, self.get_vms(), team):
@@ -263,8 +162,8 @@
             job=job_id,
             queue=admission.queue.name,
             team=admission.team,
-            configuration=self.configuration_view.current.version,
-            configuration_age_s=round(self.configuration_tail.get_age_s(), 3),
+            configuration=self.access.view.current.version,
+            configuration_age_s=round(self.access.tail.get_age_s(), 3),
         )
 
     async def show(self, job_id: str) -> Shown | Rejected:
@@ -364,7 +263,7 @@
         return self._reject(Reason.LOG_DOWN, Step.ROUTE, "the job log can't be read", RETRY_AFTER_S)
 
     def _make_fault(self, reason: Reason, step: Step, detail: str, retry_s: float = 0.0) -> Fault:
-        return Fault(reason, step, self.settings.node, detail, retry_after_s=retry_s)
+        return Fault(reason, step, self.node, detail, retry_after_s=retry_s)
 
     def _reject(self, reason: Reason, step: Step, detail: str, retry_s: float = 0.0) -> Rejected:
         if reason is not Reason.NO_SUCH_JOB:
--- a/caroblead/node/startup_test.py
+++ b/caroblead/node/startup_test.py
@@ -13,7 +13,7 @@
 from ..jobs.record import decode_job
 from ..standin.cluster import QUEUES, kill_node, run_scenario, start_node, start_site, submit
 from ..standin.work import make_spec, make_step
-from .requesthandler import Counted, Rejected, Shown
+from .answer import Counted, Rejected, Shown
 
 LEDGER_READ_S = 6.0
 
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -9,16 +9,9 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.outcome import Reason
+from ..node.answer import Accepted, Cancelled, Counted, InDoubt, Rejected, Shown
 from ..node.relaychoice import NODE_REASONS
-from ..node.requesthandler import (
-    Accepted,
-    Cancelled,
-    Counted,
-    InDoubt,
-    Rejected,
-    RequestHandler,
-    Shown,
-)
+from ..node.requesthandler import RequestHandler
 from .jobs import decode_spec, encode_state
 from .listener import Listener
 from .relay import VERSION_HEADER, VIA_HEADER, Relay
@@ -55,6 +48,7 @@
         self, request_handler: RequestHandler, is_ready, metrics, relay: Relay | None = None
     ):
         self.request_handler = request_handler
+        self.access = request_handler.access
         self.is_ready = is_ready
         self.metrics = metrics
         self.relay = relay
@@ -129,7 +123,7 @@
                 outcome = await self._pass_on(request, body, deadline_s) or outcome
         response = _make_response(outcome)
         if VIA_HEADER in request.headers:
-            response.headers[VERSION_HEADER] = str(self.request_handler.configuration_view.version)
+            response.headers[VERSION_HEADER] = str(self.access.view.version)
         return response
 
     async def _pass_on(self, request: web.BaseRequest, body: bytes, deadline_s: float):
@@ -151,8 +145,8 @@
         host = request.headers.get("Host", "").split(":")[0]
         path = request.path
         handler = self.request_handler
-        await handler.wait_for_configuration()
-        admission = handler.admit(host, path, _read_api_key(request))
+        await self.access.wait_for_configuration()
+        admission = self.access.admit(host, path, _read_api_key(request))
         if isinstance(admission, Rejected):
             return admission
         job_id = path[len(admission.queue.path) :]
@@ -170,7 +164,7 @@
 
     async def _submit(self, request, admission, job_id: str, deadline_s: float):
         body = await request.read()
-        limit = self.request_handler.configuration_view.current.max_body_bytes
+        limit = self.access.view.current.max_body_bytes
         if len(body) > limit:
             return _make_error_response(413, f"the body must not exceed {limit} bytes")
         try:
--- a/caroblead/platform/relay.py
+++ b/caroblead/platform/relay.py
@@ -13,8 +13,9 @@
 from ..core.logsink import log_routine
 from ..core.outcome import Fault, Reason, Step
 from ..jobs.record import NodeRecord
+from ..node.answer import InDoubt
 from ..node.relaychoice import RelayChoice
-from ..node.requesthandler import ANSWER_MARGIN_S, InDoubt
+from ..node.requesthandler import ANSWER_MARGIN_S
 from .http import CallFailedError, HttpClient, Reply
 
 VIA_HEADER = "Via"
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -152,7 +152,7 @@
         log("settings:rejected", faults=details)
         return
     merged = merge_settings(node.settings, checked.value)
-    node.settings = node.request_handler.settings = merged.settings
+    node.settings = node.access.settings = merged.settings
     log("settings:reloaded", changed=merged.changed, needs_restart=merged.needs_restart)
 
 
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -11,11 +11,11 @@
 from ..dispatch.interface import Advice, Configuration, ListedVm, TeamLimits
 from ..jobs.data import AdviceTimes, JobQueue, JobSpec
 from ..jobs.record import KeyedRecord
+from ..node.answer import Accepted, Admission, Cancelled, Rejected
 from ..node.configuration import ConfigurationView
 from ..node.evacuation import EvacuationView
 from ..node.program import Node, NodeAdapters
 from ..node.registry import Registry
-from ..node.requesthandler import Accepted, Admission, Cancelled, Rejected
 from ..node.setting import NodeSettings
 from ..platform.evacuation import KEY_PREFIX, decode_evacuated_zone
 from .keyedlog import CallerFaults, MemoryLog, MemoryTopic
