Deny nothing by a copy of the configuration that can't prove it, and never go back behind a peer's answer

Cause: a copy of any age judged queues, and one of up to 4.25 s keys, although an old copy can't prove that something is not there. Since other calls at the same node are passed on, and nothing said by which version the peer decided: the node showed a newer version, then its own.

Change: a queue, a key or a larger limit is denied only by a copy that was read to the end of the log within 0.85 of the new setting apply_ms, by a node that the store does not turn away; else the call waits a moment for a read that may come, is passed on, or gets 503. A call that is passed on carries the version that its callers have seen, a peer with an older copy does not decide it, an answer carries its version, and a denial by an older or unknown one is not handed out. A node whose copy is behind what it has shown decides nothing by it until it reads the log again. What a caller claims in the header lasts for its call only.

--- a/caroblead/node/configuration.py
+++ b/caroblead/node/configuration.py
@@ -6,8 +6,8 @@
 from ..dispatch.interface import Batch, Configuration
 from ..jobs.data import JobQueue
 
-# With strict keys, a node rejects calls to queues that need a key once its configuration is older
-# than this fraction of the time for which a withdrawn key may still be accepted.
+# A copy of the configuration decides nothing once it is older than this fraction of the time within
+# which a change must be in force.
 MAX_AGE_FRACTION = 0.85
 
 
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -51,13 +51,14 @@
 class NodeSettings:
     """The identity of a node, the addresses it listens on and those of the platform's services.
 
-    Times whose names end in ``_s`` are in seconds. ``revoke_ms`` is how long a withdrawn key may
-    still be accepted, ``lease_s`` how long a VM keeps running its tasks without contact to the
-    leader, ``grace_s`` how long a planned stop may take. The node may use ``core_share`` of a core
-    that is ``core_speed`` times as fast as a reference core, and a network link of ``link_mbps``.
-    ``evacuation_ms`` is within how long no task may start any more in an availability zone that is
-    evacuated, 0 where zones aren't evacuated. With ``relay``, calls that the node can't serve are
-    passed on to a peer. The other switches are for the optional decisions of
+    Times whose names end in ``_s`` are in seconds. ``apply_ms`` is within how long a change of the
+    configuration must be in force, ``revoke_ms`` how long a withdrawn key may still be accepted,
+    ``lease_s`` how long a VM keeps running its tasks without contact to the leader, ``grace_s`` how
+    long a planned stop may take. The node may use ``core_share`` of a core that is ``core_speed``
+    times as fast as a reference core, and a network link of ``link_mbps``. ``evacuation_ms`` is
+    within how long no task may start any more in an availability zone that is evacuated, 0 where
+    zones aren't evacuated. With ``relay``, calls that the node can't serve are passed on to a peer.
+    The other switches are for the optional decisions of
     :class:`caroblead.dispatch.features.Features`.
     """
 
@@ -71,6 +72,7 @@
     store: str = _define_text(ADDRESS)
     advisor: str = _define_text(OPTIONAL_ADDRESS, default="")
     strict_keys: bool = attrs.field(validator=validators.instance_of(bool), default=True)
+    apply_ms: float = _define_number(2000, above=500)
     revoke_ms: float = _define_number(5000, above=500)
     grace_s: float = _define_number(6.0, above=0, at_most=3600)
     lease_s: float = _define_number(8.0, above=1, at_most=9.5)
@@ -148,7 +150,7 @@
 
 # The settings that may change while a node runs. The duration of a lease may not, because all nodes
 # must agree on it, and neither may addresses, because they are in use.
-CHANGEABLE = frozenset({"strict_keys", "revoke_ms", "grace_s"})
+CHANGEABLE = frozenset({"strict_keys", "apply_ms", "revoke_ms", "grace_s"})
 
 
 @attrs.frozen
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -9,12 +9,12 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.outcome import Reason
-from ..node.answer import Accepted, Cancelled, Counted, InDoubt, Rejected, Shown
+from ..node.answer import Accepted, Admission, Cancelled, Counted, InDoubt, Rejected, Shown
 from ..node.relaychoice import NODE_REASONS
 from ..node.requesthandler import RequestHandler
 from .jobs import decode_spec, encode_state
 from .listener import Listener
-from .relay import VERSION_HEADER, VIA_HEADER, Relay
+from .relay import VERSION_HEADER, VIA_HEADER, Relay, read_seen_version
 
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
@@ -115,7 +115,12 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         deadline_s = get_elapsed_s() + _read_time_budget_s(request)
-        outcome = await self._decide(request, deadline_s)
+        host = request.headers.get("Host", "").split(":")[0]
+        key, seen = _read_api_key(request), read_seen_version(request)
+        outcome = await self.access.decide(host, request.path, key, seen)
+        version = self.access.view.version
+        if isinstance(outcome, Admission):
+            outcome = await self._execute(request, outcome, deadline_s)
         if isinstance(outcome, Rejected):
             # The whole request is read before it is rejected.
             body = await request.read()
@@ -123,7 +128,7 @@
                 outcome = await self._pass_on(request, body, deadline_s) or outcome
         response = _make_response(outcome)
         if VIA_HEADER in request.headers:
-            response.headers[VERSION_HEADER] = str(self.access.view.version)
+            response.headers[VERSION_HEADER] = str(version)
         return response
 
     async def _pass_on(self, request: web.BaseRequest, body: bytes, deadline_s: float):
@@ -140,16 +145,10 @@
         self.metrics.record_span("call_passed_on", get_elapsed_s() - started_s)
         return outcome
 
-    async def _decide(self, request: web.BaseRequest, deadline_s: float):
-        """Returns the outcome of a call, or the response to one that is malformed."""
-        host = request.headers.get("Host", "").split(":")[0]
-        path = request.path
+    async def _execute(self, request: web.BaseRequest, admission: Admission, deadline_s: float):
+        """Returns the outcome of an admitted call, or the response to one that is malformed."""
         handler = self.request_handler
-        await self.access.wait_for_configuration()
-        admission = self.access.admit(host, path, _read_api_key(request))
-        if isinstance(admission, Rejected):
-            return admission
-        job_id = path[len(admission.queue.path) :]
+        job_id = request.path[len(admission.queue.path) :]
         if request.method == "GET" and not job_id:
             return await handler.count(admission.queue)
         if len(job_id) != JOB_ID_LENGTH or not HEX_DIGITS.issuperset(job_id.lower()):
@@ -164,9 +163,9 @@
 
     async def _submit(self, request, admission, job_id: str, deadline_s: float):
         body = await request.read()
-        limit = self.access.view.current.max_body_bytes
-        if len(body) > limit:
-            return _make_error_response(413, f"the body must not exceed {limit} bytes")
+        too_large = self.access.check_size(len(body))
+        if too_large is not None:
+            return too_large
         try:
             spec = decode_spec(body)
         except ValueError as error:
--- a/caroblead/platform/relay_test.py
+++ b/caroblead/platform/relay_test.py
@@ -8,8 +8,11 @@
 import pytest
 from aiohttp import web
 
+from ..core.outcome import LogError
 from ..jobs.record import NodeRecord
-from ..standin.cluster import run_scenario, start_site
+from ..node.access_test import CHANGED_IN, NEW_KEY, start_changing_site
+from ..node.relaychoice import BACKOFF_S
+from ..standin.cluster import publish_config, run_scenario, start_site
 from .frontend import Frontend
 from .frontend_test import BODY, JOB, RpcClient, _make_spec
 from .http import HttpClient
@@ -32,15 +35,16 @@
     return frontend
 
 
-def run_with_peer(scenario, serve_peer):
+def run_with_peer(scenario, serve_peer, start=start_site):
     """Runs a scenario with a caller of n0, which the store turns away and which has one peer."""
 
     async def main():
-        site = await start_site()
+        site = await start()
         peer = await serve_peer(site)
         http = HttpClient()
         records, port = make_peer(peer)
-        front = await serve_node(site, "n0", Relay("n0", http, lambda: records, port))
+        access = site.nodes["n0"].access
+        front = await serve_node(site, "n0", Relay("n0", http, lambda: records, port, access))
         site.faults_by_node["n0"].down = True
         await asyncio.sleep(OUTAGE_S)
         try:
@@ -144,3 +148,72 @@
         assert (reply.status, reply.retry_after) == (429, "7")
 
     run_with_peer(scenario, serve_peer_that_is_full)
+
+
+# A node passed on what a peer said by version 14, and then said 404 by its own version 2.
+def test_node_never_goes_back_behind_the_answer_of_a_peer():
+    async def scenario(site, caller):
+        publish_config(site, CHANGED_IN)
+        await asyncio.sleep(1)
+        new = {"Authorization": f"Bearer {NEW_KEY}"}
+        site.caller_records.jobs[JOB] = _make_spec()
+        assert (await caller.call("POST", f"/c/{JOB}", BODY, **new)).status == 200
+        assert (await caller.call("GET", "/n/")).decode() == {"waiting": 0}
+        assert (await caller.call("GET", "/none/")).status == 404
+        site.faults_by_node["n1"].down = True
+        await asyncio.sleep(OUTAGE_S)
+        for path in ("/none/", "/c/"):
+            assert (await caller.call("GET", path)).status == 503
+
+    run_with_peer(scenario, serve_second_node, start_changing_site)
+
+
+def test_peer_with_an_older_configuration_denies_nothing_to_callers_of_a_newer_node():
+    async def scenario(site, caller):
+        site.faults_by_node["n0"].down = False
+        site.faults_by_node["n1"].down = True
+        publish_config(site, CHANGED_IN)
+        await asyncio.sleep(0.5)
+
+        async def refuse(records, fence, timeout_s):
+            raise LogError("log-append returned status 503", False)
+
+        site.nodes["n0"].appender.log.append = refuse
+        new = {"Authorization": f"Bearer {NEW_KEY}"}
+        assert (await caller.call("POST", f"/c/{JOB}", BODY, **new)).status == 503
+        calls = site.nodes["n1"].metrics.calls
+        assert {status for method, status in calls} == {503}
+
+    run_with_peer(scenario, serve_second_node, start_changing_site)
+
+
+async def serve_peer_that_denies(site) -> Listener:
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(status=404)
+
+    listener = Listener(answer)
+    await listener.start("127.0.0.1", 0)
+    return listener
+
+
+def test_denial_by_a_peer_that_tells_no_version_is_not_handed_out():
+    async def scenario(site, caller):
+        for method in ("GET", "POST", "DELETE"):
+            body = BODY if method == "POST" else None
+            assert (await caller.call(method, f"/c/{JOB}", body)).status == 503
+            await asyncio.sleep(BACKOFF_S)
+
+    run_with_peer(scenario, serve_peer_that_denies)
+
+
+@pytest.mark.parametrize("version", ["99999999999999999", "-1", "x", "9" * 5000, "\u0663"])
+def test_version_that_a_caller_makes_up_changes_nothing(version):
+    async def scenario(site, caller):
+        site.faults_by_node["n0"].down = False
+        await asyncio.sleep(1.5)
+        headers = {"Via": "1.1 n9", "Configuration-Version": version}
+        for _ in range(2):
+            assert (await caller.call("GET", "/c/", **headers)).status == 200
+            assert (await caller.call("GET", "/c/")).status == 200
+
+    run_with_peer(scenario, serve_second_node)
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -86,7 +86,7 @@
         http,
         lambda: node.ledger.nodes.values(),
         port,
-        lambda: node.configuration_view.version,
+        node.access,
     )
 
 
