Start no task before the leader has read the teams' quotas

A leader that was elected before its node had read the configuration started tasks without any quota.

Change: a leader without a configuration starts nothing.

--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -262,7 +262,7 @@
 
 @dataclass(slots=True)
 class Configuration:
-    """The configuration in force.
+    """The configuration in force; version 0 stands for one that has not been read yet.
 
     ``keys`` maps an API key to its team and ``queues`` holds the queues in order of host and path.
     """
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -87,11 +87,14 @@
         return
     if not is_registry_current(state.dependencies) or not apply_evacuations(state):
         return
+    configuration = state.dependencies.get_configuration()
+    if not configuration.version:
+        # Without a configuration nothing is known of the teams' quotas.
+        return
     limits = state.order_sender.window.make_limits()
     if not limits.max_starts:
         return
     report_waiting_steps(state, steps, now_s)
-    configuration = state.dependencies.get_configuration()
     slow = {name for name in state.health.speeds if is_slow(state.health, name, now_s)}
     slow |= list_cold_vms(state, now_s)
     plan = plan_starts(
--- a/caroblead/node/permission_test.py
+++ b/caroblead/node/permission_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ..core.outcome import Reason
+from ..core.resource import Resources
 from ..dispatch.fleet import RunPhase
 from ..dispatch.interface import Configuration
 from ..jobs.record import KeyedRecord
@@ -122,3 +123,31 @@
         return site
 
     run_scenario(scenario)
+
+
+def test_leader_that_has_not_read_the_quotas_starts_nothing():
+    async def scenario():
+        site = await start_site(cap=Resources(1000, 8192))
+        await submit_stream(site, make_spec(make_step(4), seconds=4), 1, 0.0)
+        await asyncio.sleep(1)
+        for name in list(site.nodes):
+            await kill_node(site, name)
+        read = asyncio.Event()
+        for name in ("n0", "n1", "n2"):
+            await start_node(site, name)
+            log = site.nodes[name].configuration_tail.log
+
+            async def read_newest(log=log, original=log.read_newest):
+                await read.wait()
+                return await original()
+
+            log.read_newest = read_newest
+        await wait_for_leader(site)
+        await asyncio.sleep(3)
+        starts = [line for line in site.vm_simulator.history if line.kind == "start"]
+        assert len(starts) == 1
+        read.set()
+        await asyncio.sleep(20)
+        return site
+
+    assert check_site(run_scenario(scenario)) == []
