Take a version of the configuration into force as a whole or not at all

A version with a value of another type, such as a limit in quotes or a priority that is a word, came into force half understood: calls failed with 500, or ranks could not be compared.

Cause: the configuration was converted where it should have been checked; what is read by an index or by int() may be of any type.

Change: platform/fields.py checks fields of decoded messages, and the configuration is decoded by it.

--- a/caroblead/platform/configuration.py
+++ b/caroblead/platform/configuration.py
@@ -5,53 +5,67 @@
 from ..core.resource import Resources
 from ..dispatch.interface import Configuration, TeamLimits
 from ..jobs.data import AdviceTimes, JobQueue
+from .fields import (
+    check_object,
+    check_text,
+    read_flag,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    read_whole,
+)
 
 TOPIC = "keyed.op"
 KEY = "config"
+MAX_PRIORITY = 1_000_000
 
 
 def decode_configuration(value: bytes) -> Configuration:
-    """Decodes a configuration from JSON; raises ``ValueError`` if it is malformed."""
-    try:
-        return _decode(orjson.loads(value))
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"malformed configuration: {type(error).__name__}: {error}") from None
-
-
-def _decode(raw: dict) -> Configuration:
-    configuration = Configuration(version=int(raw["version"]))
-    limits = raw.get("limits", {})
-    configuration.max_body_bytes = limits.get("maxBodyBytes", configuration.max_body_bytes)
-    for route in raw["routes"]:
-        queue = _decode_queue(route)
+    """Decodes a configuration from JSON.
+
+    Raises ``ValueError`` if any field that is used has another type or is out of range, so that a
+    version is taken over as a whole or not at all.
+    """
+    raw = check_object(orjson.loads(value), "configuration")
+    configuration = Configuration(version=read_whole(raw, "version", low=1))
+    limits = read_object(raw, "limits", {})
+    configuration.max_body_bytes = read_number(limits, "maxBodyBytes", configuration.max_body_bytes)
+    for route in read_list(raw, "routes"):
+        queue = _decode_queue(check_object(route, "routes"))
         configuration.queues[queue.name] = queue
-    for tenant in raw.get("tenants", ()):
-        cap = tenant.get("cap", {})
-        quota = Resources(cap.get("cpu", 0), cap.get("memMb", 0), cap.get("gpu", 0))
-        team = TeamLimits(tenant["name"], tenant.get("weight", 1), quota)
-        configuration.teams[team.name] = team
-        for key in tenant["apiKeys"]:
-            configuration.keys[key] = team.name
+    for tenant in read_list(raw, "tenants", ()):
+        _add_team(configuration, check_object(tenant, "tenants"))
     return configuration
 
 
+def _add_team(configuration: Configuration, tenant: dict):
+    cap = read_object(tenant, "cap", {})
+    quota = Resources(*(read_number(cap, name, 0) for name in ("cpu", "memMb", "gpu")))
+    team = TeamLimits(read_text(tenant, "name"), read_number(tenant, "weight", 1), quota)
+    configuration.teams[team.name] = team
+    for key in read_list(tenant, "apiKeys"):
+        configuration.keys[check_text(key, "apiKeys")] = team.name
+
+
 def _decode_queue(route: dict) -> JobQueue:
-    terms = route.get("recommendation")
-    advice = None
-    if terms:
-        advice = AdviceTimes(
-            terms["decisionMs"] / 1000, terms["periodMs"] / 1000, terms["validityMs"] / 1000
-        )
     return JobQueue(
-        name=route["name"],
-        host=route["host"],
-        path=route["pathPrefix"],
-        service=route["service"],
-        priority=route.get("priority", 0),
-        max_attempts=route.get("maxAttempts", 1),
-        stretch=route.get("targetFactor", 1.0),
-        latency_s=route.get("targetLatencyMs", 1000) / 1000,
-        timeout_s=route.get("timeoutMs", 3000) / 1000,
-        open_to_all=bool(route.get("public", False)),
-        advice=advice,
+        name=read_text(route, "name"),
+        host=read_text(route, "host"),
+        path=read_text(route, "pathPrefix"),
+        service=read_text(route, "service"),
+        priority=read_number(route, "priority", 0, -MAX_PRIORITY, MAX_PRIORITY),
+        max_attempts=read_number(route, "maxAttempts", 1),
+        stretch=read_number(route, "targetFactor", 1.0),
+        latency_s=read_number(route, "targetLatencyMs", 1000) / 1000,
+        timeout_s=read_number(route, "timeoutMs", 3000) / 1000,
+        open_to_all=read_flag(route, "public"),
+        advice=_decode_advice(read_object(route, "recommendation", {})),
     )
+
+
+def _decode_advice(terms: dict) -> AdviceTimes | None:
+    if not terms:
+        return None
+    names = ("decisionMs", "periodMs", "validityMs")
+    return AdviceTimes(*(read_number(terms, name) / 1000 for name in names))
