Find a queue by an index, and its host regardless of case

What callers saw: 404 for a Host header in capitals, which HTTP doesn't tell apart. Each call compared its host and path with every queue.

Change: the queues are indexed by host, in lower case, and path when a version comes in force.

--- a/caroblead/node/access.py
+++ b/caroblead/node/access.py
@@ -7,7 +7,7 @@
 from ..core.outcome import Fault, Reason, Step
 from ..core.timer import wait_for_event
 from .answer import RETRY_AFTER_S, Admission, Rejected
-from .configuration import MAX_AGE_FRACTION, ConfigurationView, find_queue
+from .configuration import MAX_AGE_FRACTION, ConfigurationView
 from .setting import NodeSettings
 from .tail import Tail
 
@@ -56,7 +56,7 @@
         if self._is_behind(seen) or self._is_behind(self.shown):
             detail = "a newer version of the configuration is in force at a peer"
             return self._reject(Reason.NO_CONFIG, Step.ADMIT, detail)
-        queue = find_queue(configuration, host, path)
+        queue = self.view.find_queue(host, path)
         if queue is None:
             return self._deny(Reason.NO_SUCH_QUEUE, Step.ADMIT, f"no queue at {host}{path}")
         if queue.open_to_all:
--- a/caroblead/node/configuration.py
+++ b/caroblead/node/configuration.py
@@ -1,6 +1,6 @@
 """The configuration in force on this node, and the limit on how stale it may become."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..core.logsink import log
 from ..dispatch.interface import Batch, Configuration
@@ -18,12 +18,21 @@
         self.key = key
         self.decode = decode
         self.current: Configuration | None = None
+        self.indexed: Configuration | None = None
+        self.index = QueueIndex(())
 
     @property
     def version(self) -> int:
         """The version in force, or 0 before the first one is read."""
         return self.current.version if self.current is not None else 0
 
+    def find_queue(self, host: str, path: str) -> JobQueue | None:
+        """Returns the queue in force for a call, or ``None`` if there is none."""
+        if self.indexed is not self.current:
+            self.indexed = self.current
+            self.index = QueueIndex(self.current.queues.values())
+        return self.index.find(host, path)
+
     def consume(self, batch: Batch, complete: bool):
         """Applies records of the operators' log.
 
@@ -48,11 +57,22 @@
             )
 
 
-def find_queue(configuration: Configuration, host: str, path: str) -> JobQueue | None:
-    """Returns the queue of a host whose path is the longest prefix of ``path``, if there is one."""
-    best = None
-    for queue in configuration.queues.values():
-        if queue.host == host and path.startswith(queue.path):
-            if best is None or len(queue.path) > len(best.path):
-                best = queue
-    return best
+class QueueIndex:
+    """The queues of a configuration by host and path.
+
+    Hosts are compared regardless of case, as in all of HTTP. ``lengths`` are the lengths of the
+    paths, the longest first.
+    """
+
+    def __init__(self, queues: Iterable[JobQueue]):
+        self.by_place = {(queue.host.lower(), queue.path): queue for queue in queues}
+        self.lengths = sorted({len(path) for _, path in self.by_place}, reverse=True)
+
+    def find(self, host: str, path: str) -> JobQueue | None:
+        """Returns the queue of a host whose path is the longest prefix of ``path``, if any."""
+        host = host.lower()
+        for length in self.lengths:
+            queue = self.by_place.get((host, path[:length]))
+            if queue is not None and length <= len(path):
+                return queue
+        return None
--- a/caroblead/platform/frontend_test.py
+++ b/caroblead/platform/frontend_test.py
@@ -85,6 +85,14 @@
     run_with_frontend(scenario)
 
 
+def test_host_in_capitals_finds_its_queue():
+    async def scenario(site, caller):
+        assert (await caller.call("GET", "/c/", Host="X.Example:80")).status == 200
+        assert site.vm_simulator.history == []
+
+    run_with_frontend(scenario)
+
+
 def test_node_without_the_store_returns_errors_and_is_not_ready():
     async def scenario(site, caller):
         assert (await caller.call("GET", "/api/readyz")).status == 200
