Take odd entries of the registry for no VM, and let no record stop a reader of a log

It happened here: a zone or label 1,000 levels deep raised RecursionError, which no reader expected; the reader read the same record again for ever, saw no VM that registered later, missed none that left, and a node that started then listed no VM at all.

Cause: decoders that convert instead of check, and followers of a log that any single record can stop.

All four readers apply records one by one, and any error in one is logged and passed over (apply_each). An odd entry under the name of a VM takes that VM from the list until it writes again, as a node that starts would see it.

--- a/caroblead/node/configuration.py
+++ b/caroblead/node/configuration.py
@@ -5,6 +5,8 @@
 from ..core.logsink import log
 from ..dispatch.interface import Batch, Configuration
 from ..jobs.data import JobQueue
+from ..jobs.record import KeyedRecord
+from .tail import apply_each
 
 # A copy of the configuration decides nothing once it is older than this fraction of the time within
 # which a change must be in force.
@@ -36,25 +38,23 @@
     def consume(self, batch: Batch, complete: bool):
         """Applies records of the operators' log.
 
-        A record that can't be decoded is logged and skipped.
+        A version that can't be decoded is logged and skipped, and the one before stays in force.
         """
-        for record in batch.records:
-            if record.key != self.key or not record.value:
-                continue
-            try:
-                found = self.decode(record.value)
-            except ValueError as error:
-                log("configuration:unreadable", error=str(error))
-                continue
-            if self.current is not None and found.version <= self.current.version:
-                continue
-            self.current = found
-            log(
-                "configuration:in_force",
-                version=found.version,
-                queues=len(found.queues),
-                teams=len(found.teams),
-            )
+        apply_each("configuration", batch.records, self._apply)
+
+    def _apply(self, record: KeyedRecord):
+        if record.key != self.key or not record.value:
+            return
+        found = self.decode(record.value)
+        if self.current is not None and found.version <= self.current.version:
+            return
+        self.current = found
+        log(
+            "configuration:in_force",
+            version=found.version,
+            queues=len(found.queues),
+            teams=len(found.teams),
+        )
 
 
 class QueueIndex:
--- a/caroblead/node/evacuation.py
+++ b/caroblead/node/evacuation.py
@@ -5,6 +5,8 @@
 from ..core.logsink import log
 from ..dispatch.evacuation import ZoneReading
 from ..dispatch.interface import Batch
+from ..jobs.record import KeyedRecord
+from .tail import apply_each
 
 
 class EvacuationView:
@@ -24,14 +26,17 @@
         """Applies records of the operators' log; a complete batch replaces all zones."""
         before = self.zones
         found = set() if complete else set(before)
-        for record in batch.records:
+
+        def apply(record: KeyedRecord):
             zone = self.decode_zone(record.key)
             if zone is None:
-                continue
+                return
             if record.value:
                 found.add(zone)
             else:
                 found.discard(zone)
+
+        apply_each("evacuation", batch.records, apply)
         self.zones = frozenset(found)
         self.known = self.known or complete
         for zone in sorted(self.zones - before):
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -12,7 +12,6 @@
 from ..dispatch.term import LeaderDependencies
 from ..jobs.data import JobState
 from ..jobs.ledger import (
-    MALFORMED,
     Change,
     HeartbeatReceived,
     LeaderResigned,
@@ -34,7 +33,7 @@
 from .registry import Registry
 from .requesthandler import RequestHandler
 from .setting import NodeSettings, compute_strength, make_features
-from .tail import Tail
+from .tail import Tail, apply_each
 
 LEDGER_WAIT_S = 0.2
 LEDGER_PAUSE_S = 0.1
@@ -181,8 +180,7 @@
         if complete:
             self._abandon_term("the ledger was rebuilt from the newest records")
             self.ledger = Ledger()
-        for record in batch.records:
-            self._apply(record)
+        apply_each("ledger", batch.records, self._apply)
 
     def _apply(self, record: KeyedRecord):
         change = apply_or_log(self.ledger, record)
@@ -374,8 +372,6 @@
 
 def apply_or_log(ledger: Ledger, record: KeyedRecord) -> Change | None:
     """Applies a record to the ledger and returns what changed; logs and skips a malformed one."""
-    try:
-        return apply_record(ledger, record)
-    except MALFORMED as error:
-        log("ledger:unreadable", key=record.key, error=f"{type(error).__name__}: {error}")
-        return None
+    changes: list[Change | None] = [None]
+    apply_each("ledger", [record], lambda item: changes.append(apply_record(ledger, item)))
+    return changes[-1]
--- a/caroblead/node/registry.py
+++ b/caroblead/node/registry.py
@@ -3,11 +3,14 @@
 from collections.abc import Callable
 
 from ..core.logsink import log
+from ..core.timer import call_and_log_errors
 from ..dispatch.interface import Batch, ListedVm
+from ..jobs.record import KeyedRecord
+from .tail import apply_each
 
 
 class Registry:
-    """Tracks the registered VMs; an entry that can't be decoded changes nothing."""
+    """Tracks the registered VMs; an entry that can't be decoded names no VM."""
 
     def __init__(self, decode: Callable[[str, bytes], ListedVm]):
         self.decode = decode
@@ -18,18 +21,17 @@
         """Applies records of the registry's log; a complete batch replaces all entries."""
         before = self.vms
         found = {} if complete else dict(before)
-        for record in batch.records:
-            if not record.value:
-                found.pop(record.key, None)
-                continue
-            try:
+
+        def apply(record: KeyedRecord):
+            found.pop(record.key, None)
+            if record.value:
                 found[record.key] = self.decode(record.key, record.value)
-            except ValueError as error:
-                log("registry:unreadable", entry=record.key, error=str(error))
+
+        apply_each("registry", batch.records, apply)
         self.vms = found
         self._log_changes(before, found)
         if before != found:
-            self.on_change()
+            call_and_log_errors(self.on_change)
 
     def _log_changes(self, before: dict[str, ListedVm], found: dict[str, ListedVm]):
         for name in before.keys() - found.keys():
--- a/caroblead/node/tail.py
+++ b/caroblead/node/tail.py
@@ -13,10 +13,26 @@
 from ..core.outcome import LogError
 from ..core.timer import await_and_log_errors, wait_for_event
 from ..dispatch.interface import Batch, HistoryGoneError, KeyedLog
+from ..jobs.record import KeyedRecord
 
 RETRY_INTERVAL_S = 0.1
 # How long a caller of :meth:`Tail.refresh` waits for the read that it has triggered.
 REFRESH_TIMEOUT_S = 0.05
+MAX_ERROR_LENGTH = 200
+
+
+def apply_each(name: str, records: list[KeyedRecord], apply: Callable[[KeyedRecord], None]):
+    """Applies records one by one; one that raises any error is logged and has no further effect.
+
+    Every writer of a log can put any content into it, and a follower that stopped at a record
+    would read it again for ever. ``name`` is the name of the log.
+    """
+    for record in records:
+        try:
+            apply(record)
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH]
+            log(f"{name}:unreadable", key=record.key, error=detail)
 
 
 class Tail:
