Check what VMs say of their runs instead of converting it

A checkpoint that is a deep list, or a run number of 10^308, came from one VM into the leader's table; the record of its job could then not be encoded, which ends the leader's recording, and that of the next leader too.

Cause: the class of the odd entries of the registry: decoders that convert instead of check.

Change: the rows of running and ended tasks are checked field by field and within bounds; an odd answer counts as no answer of that VM.

--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -1,5 +1,7 @@
 """HTTP client of the VMs, which start, stop and throttle tasks on request."""
 
+import re
+
 from ..dispatch.interface import (
     EndedTask,
     EndReason,
@@ -16,11 +18,23 @@
     parse_task_name,
 )
 from ..dispatch.orderwindow import MIN_ORDER_TIMEOUT_S
+from .fields import (
+    check_list,
+    check_number,
+    check_text,
+    check_whole,
+    read_list,
+    read_text,
+    read_whole,
+)
 from .http import CallFailedError, HttpClient, Reply
+from .registry import MAX_BORN_MS
 
 HOLD_TIMEOUT_MARGIN_S = 0.4
-# What decoding a response of another form than a VM's raises.
-MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
+MAX_NAME_LENGTH = 256
+# A checkpoint is stored in the record of its job, of which the log takes a limited size.
+MAX_CHECKPOINT_LENGTH = 1024
+TASK_NAME = re.compile(r"[^.]+(\.[0-9]{1,9}){3}")
 # The meaning of the platform's reason strings in responses with status 409.
 REFUSAL_BY_REASON = {
     "fence": StartRefusal.FENCED,
@@ -94,19 +108,19 @@
             return _decode_hold_answer(reply.decode())
         except CallFailedError as error:
             return NoAnswer(str(error))
-        except MALFORMED as error:
-            return NoAnswer(f"malformed response to hold: {type(error).__name__}: {error}")
+        except ValueError as error:
+            return NoAnswer(f"malformed response to hold: {error}")
 
     async def _send_command(self, target: Target, operation: str, message: dict) -> StartOutcome:
         try:
             reply = await self._post(target, operation, message, self.order_timeout_s)
             if reply.status == 200:
-                return Started(int(reply.decode().get("clockMs", 0)))
+                return Started(read_whole(reply.decode(), "clockMs", 0))
             return _decode_refusal(reply)
         except CallFailedError as error:
             return NoAnswer(str(error))
-        except MALFORMED as error:
-            return NoAnswer(f"malformed response to {operation}: {type(error).__name__}: {error}")
+        except ValueError as error:
+            return NoAnswer(f"malformed response to {operation}: {error}")
 
     async def _post(self, target: Target, operation: str, message: dict, timeout_s: float) -> Reply:
         headers = {"Expect-Instance": target.vm}
@@ -117,7 +131,7 @@
 
 def _decode_refusal(reply: Reply) -> Refused | NoAnswer:
     if reply.status == 409:
-        reason = reply.decode().get("reason")
+        reason = read_text(reply.decode(), "reason", "")
         return Refused(REFUSAL_BY_REASON.get(reason, StartRefusal.INVALID))
     if reply.status == 421:
         return Refused(StartRefusal.OTHER_INCARNATION)
@@ -128,20 +142,53 @@
     return NoAnswer(f"unexpected status {reply.status}")
 
 
+def _decode_hold_answer(raw: dict) -> HoldAnswer:
+    return HoldAnswer(
+        read_whole(raw, "clockMs"),
+        read_whole(raw, "born", 0, high=MAX_BORN_MS),
+        [_decode_running_task(row) for row in _list_rows(raw, "running", 4)],
+        [_decode_ended_task(row) for row in _list_rows(raw, "finished", 5)],
+    )
+
+
+def _list_rows(raw: dict, name: str, min_length: int) -> list[list]:
+    rows = [check_list(row, name) for row in read_list(raw, name)]
+    if any(len(row) < min_length for row in rows):
+        raise ValueError(f"{name}: a row must have at least {min_length} elements")
+    return rows
+
+
 def _decode_running_task(row: list) -> RunningTask:
     # The fifth element is the tail response time in milliseconds for a task with a latency
     # objective, and the processor usage for any other task. The row itself does not tell which; the
     # caller must know the kind of the task.
-    measured = float(row[4] or 0.0) if len(row) > 4 else 0.0
-    return RunningTask(parse_task_name(row[0]), int(row[1]), row[2] or "", float(row[3]), measured)
-
-
-def _decode_hold_answer(raw: dict) -> HoldAnswer:
-    running = [_decode_running_task(row) for row in raw["running"]]
-    ended = [
-        EndedTask(
-            int(row[0]), parse_task_name(row[1]), int(row[2]), EndReason(row[3]), row[4] or ""
-        )
-        for row in raw["finished"]
-    ]
-    return HoldAnswer(int(raw["clockMs"]), int(raw.get("born", 0)), running, ended)
+    measured = check_number(row[4] or 0.0, "running") if len(row) > 4 else 0.0
+    percent = check_number(row[3], "running")
+    return RunningTask(
+        _decode_task_name(row[0]),
+        check_whole(row[1], "running"),
+        _decode_checkpoint(row[2]),
+        float(percent),
+        float(measured),
+    )
+
+
+def _decode_ended_task(row: list) -> EndedTask:
+    return EndedTask(
+        check_whole(row[0], "finished"),
+        _decode_task_name(row[1]),
+        check_whole(row[2], "finished"),
+        EndReason(check_text(row[3], "finished")),
+        _decode_checkpoint(row[4]),
+    )
+
+
+def _decode_task_name(value: object) -> TaskName:
+    name = check_text(value, "task", MAX_NAME_LENGTH)
+    if not TASK_NAME.fullmatch(name):
+        raise ValueError("task: must have the form ID.K.STEP.INDEX")
+    return parse_task_name(name)
+
+
+def _decode_checkpoint(value: object) -> str:
+    return check_text("" if value is None else value, "saved", MAX_CHECKPOINT_LENGTH)
