Reject odd jobs of callers with the field that is wrong, and jobs that no leader can keep

A label that is a deep list, or a number of 10^308, got 500; a job of 10^9 repetitions was accepted, and each leader that read it would have opened all that were due until its memory was full.

Change: every field of a job is checked, an error names it, and a job may have 50,000 tasks in all repetitions.

--- a/caroblead/platform/jobs.py
+++ b/caroblead/platform/jobs.py
@@ -1,15 +1,16 @@
 """Decodes the jobs that callers submit and encodes the job states that they query."""
 
-import math
-
 import orjson
 
 from ..core.resource import Resources
 from ..jobs.data import JobSpec, JobState, StepSpec
+from .fields import check_object, read_flag, read_list, read_number, read_text, read_whole
 
 MAX_PAYLOAD_BYTES = 4000
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
+# The progress of a job is one record of the log, and the leader keeps every task in memory.
+MAX_TASKS_PER_JOB = 50_000
 STATE_NAMES = {
     JobState.QUEUED: "queued",
     JobState.RUNNING: "in_progress",
@@ -25,57 +26,57 @@
     Raises ``ValueError`` if the body is not a JSON object or a field is invalid; the message then
     names the field, for example ``steps.2.count``.
     """
-    raw = orjson.loads(body)
-    if not isinstance(raw, dict):
-        raise ValueError("the job must be a JSON object")
-    payload = raw.get("spec", "")
-    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+    raw = check_object(orjson.loads(body), "job")
+    payload = read_text(raw, "spec", "")
+    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise ValueError(f"spec: must be a string of at most {MAX_PAYLOAD_BYTES} bytes")
-    steps = raw.get("steps")
-    if not isinstance(steps, list) or not 0 < len(steps) <= MAX_STEPS:
+    steps = read_list(raw, "steps")
+    if not 0 < len(steps) <= MAX_STEPS:
         raise ValueError(f"steps: must be a list with a length of 1 to {MAX_STEPS}")
-    return JobSpec(
+    spec = JobSpec(
         payload,
         tuple(_decode_step(step_index, step) for step_index, step in enumerate(steps)),
-        _read_int(raw, "repetitions", "repetitions"),
-        _read_int(raw, "startAtMs", "startAtMs") / 1000,
-        _read_int(raw, "intervalMs", "intervalMs") / 1000,
+        _read_int(raw, "repetitions"),
+        _read_int(raw, "startAtMs") / 1000,
+        _read_int(raw, "intervalMs") / 1000,
     )
+    if sum(step.count for step in spec.steps) * max(1, spec.repeats) > MAX_TASKS_PER_JOB:
+        raise ValueError(f"steps: all repetitions must have at most {MAX_TASKS_PER_JOB} tasks")
+    return spec
 
 
-def _decode_step(step_index: int, raw: dict) -> StepSpec:
+def _decode_step(step_index: int, value: object) -> StepSpec:
     field_path = f"steps.{step_index}"
-    if not isinstance(raw, dict):
-        raise ValueError(f"{field_path}: must be a JSON object")
-    count = _read_int(raw, "count", f"{field_path}.count")
-    if not 0 < count <= MAX_TASKS_PER_STEP:
-        raise ValueError(f"{field_path}.count: must be a number from 1 to {MAX_TASKS_PER_STEP}")
-    after = raw.get("after") or []
-    if not isinstance(after, list) or not all(_is_earlier(item, step_index) for item in after):
-        raise ValueError(f"{field_path}.after: must be a list of the numbers of earlier steps")
+    raw = check_object(value, field_path)
+    try:
+        return _decode_step_fields(step_index, raw)
+    except ValueError as error:
+        raise ValueError(f"{field_path}.{error}") from None
+
+
+def _decode_step_fields(step_index: int, raw: dict) -> StepSpec:
+    after = read_list(raw, "after", [])
+    if not all(_is_earlier(item, step_index) for item in after):
+        raise ValueError("after: must be a list of the numbers of earlier steps")
     return StepSpec(
-        count=count,
-        need=Resources(
-            _read_int(raw, "cpu", f"{field_path}.cpu"),
-            _read_int(raw, "memMb", f"{field_path}.memMb"),
-            _read_int(raw, "gpu", f"{field_path}.gpu"),
-        ),
-        estimate_s=_read_int(raw, "estimatedMs", f"{field_path}.estimatedMs") / 1000,
+        count=read_whole(raw, "count", low=1, high=MAX_TASKS_PER_STEP),
+        need=Resources(*(_read_int(raw, name) for name in ("cpu", "memMb", "gpu"))),
+        estimate_s=_read_int(raw, "estimatedMs") / 1000,
         after=tuple(after),
-        gang=bool(raw.get("gang", False)),
-        same_rack=bool(raw.get("sameRack", False)),
-        label=str(raw.get("requirements") or ""),
-        near_rack=str(raw.get("affinity") or ""),
-        max_per_vm=_read_int(raw, "antiAffinity", f"{field_path}.antiAffinity"),
-        checkpoints=bool(raw.get("checkpointing", False)),
-        copies_allowed=bool(raw.get("allowConcurrent", False)),
-        endless=bool(raw.get("longRunning", False)),
+        gang=_read_switch(raw, "gang"),
+        same_rack=_read_switch(raw, "sameRack"),
+        label=read_text(raw, "requirements", ""),
+        near_rack=read_text(raw, "affinity", ""),
+        max_per_vm=_read_int(raw, "antiAffinity"),
+        checkpoints=_read_switch(raw, "checkpointing"),
+        copies_allowed=_read_switch(raw, "allowConcurrent"),
+        endless=_read_switch(raw, "longRunning"),
         # Despite its name, ``fillCount`` is a boolean: the processor need of such tasks is not
         # counted.
-        fills=bool(raw.get("fillCount", False)),
-        image=str(raw.get("image") or ""),
-        target_ms=_read_int(raw, "targetMs", f"{field_path}.targetMs"),
-        miss_tolerance=_read_int(raw, "missTolerance", f"{field_path}.missTolerance"),
+        fills=_read_switch(raw, "fillCount"),
+        image=read_text(raw, "image", ""),
+        target_ms=_read_int(raw, "targetMs"),
+        miss_tolerance=_read_int(raw, "missTolerance"),
     )
 
 
@@ -84,12 +85,15 @@
     return isinstance(item, int) and not isinstance(item, bool) and 0 <= item < step_index
 
 
-def _read_int(raw: dict, name: str, field_path: str) -> int:
-    value = raw.get(name, 0) or 0
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 <= value < math.inf:
-        raise ValueError(f"{field_path}: must be a non-negative number")
-    return int(value)
+def _read_int(raw: dict, name: str) -> int:
+    """Reads an amount, of which callers may send fractions; an absent one is 0."""
+    return int(read_number(raw, name, 0))
+
+
+def _read_switch(raw: dict, name: str) -> bool:
+    """Reads a flag, which callers may also send as 0 or 1; an absent one is false."""
+    value = raw.get(name)
+    return bool(value) if value in (0, 1) else read_flag(raw, name)
 
 
 def encode_state(state: JobState) -> bytes:
