Pass over odd records and entries where the store's answers are decoded

A key that isn't UTF-8, an empty record or a record whose key is cut short made the whole read fail, and the next one again: no reader got past it. One odd entry of a page of newest records kept a node that starts from reading any. A key that is cut short dropped another key.

Cause: the class of the odd entries of the registry: a follower that any single record can stop.

Change: such a record is taken for one without a key, such an entry is left out, and pages that don't go on and responses over 8 MiB end in an error.

--- a/caroblead/platform/http.py
+++ b/caroblead/platform/http.py
@@ -10,6 +10,8 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_TIMEOUT_S = 60.0
 CONNECTIONS_PER_HOST = 8
+# A page of the store has at most 1 MB, a third more in base64.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 CLIENT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError)
 
 
@@ -51,6 +53,20 @@
         return value
 
 
+class _BodyTooLargeError(Exception):
+    """A response is larger than any that the platform sends."""
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    chunks, size = [], 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            raise _BodyTooLargeError()
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 class HttpClient:
     """Sends calls over persistent connections.
 
@@ -79,10 +95,10 @@
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as response:
-                return Reply(response.status, await response.read(), response.headers)
+                return Reply(response.status, await _read_body(response), response.headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise CallFailedError(f"can't connect: {type(error).__name__}", False) from None
-        except CLIENT_ERRORS as error:
+        except (*CLIENT_ERRORS, _BodyTooLargeError) as error:
             raise CallFailedError(f"no response: {type(error).__name__}", True) from None
 
     async def post(self, url: str, message: dict, timeout_s: float, headers=None) -> Reply:
--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -4,10 +4,12 @@
 import struct
 from urllib.parse import quote
 
+from ..core.logsink import log
 from ..core.outcome import LogError
 from ..dispatch.interface import Batch, Fence, FencedError, HistoryGoneError
 from ..jobs.record import KeyedRecord
-from .http import CallFailedError, HttpClient, Reply
+from .fields import check_object, check_text, read_list, read_text, read_whole
+from .http import MAX_BODY_BYTES, CallFailedError, HttpClient, Reply
 
 PRODUCER = "leader"
 RECORD_LENGTH = struct.Struct(">I")
@@ -19,8 +21,6 @@
 READ_NEWEST_TIMEOUT_S = 5.0
 # The store has appended nothing when it responds with one of these statuses.
 REFUSED_STATUSES = frozenset({429, 503, 507})
-# What decoding a response of another form than the store's raises.
-MALFORMED = (struct.error, LookupError, TypeError, ValueError)
 
 
 class PlatformLog:
@@ -71,7 +71,7 @@
             raise LogError(f"log-read returned status {reply.status}", False)
         try:
             return parse_records(reply.body, offset)
-        except MALFORMED as error:
+        except (struct.error, ValueError) as error:
             raise LogError(f"log-read returned malformed records: {error}", False) from None
 
     async def read_newest(self) -> Batch:
@@ -91,14 +91,14 @@
                 page = self._decode(reply)
                 # Records may be appended while the pages are read, so reading continues at the end
                 # offset of the first page.
-                end_offset = int(page["endOffset"]) if end_offset is None else end_offset
-                items = [_decode_item(item) for item in page["items"]]
-            except MALFORMED as error:
+                end_offset = read_whole(page, "endOffset") if end_offset is None else end_offset
+                items = read_list(page, "items")
+                entries += _decode_items(items)
+                if not page.get("hasMore") or not items:
+                    break
+                after = _get_next_key(items[-1], after)
+            except ValueError as error:
                 raise LogError(f"log-newest returned a malformed page: {error}", False) from None
-            entries += items
-            if not page.get("hasMore") or not items:
-                break
-            after = items[-1][1]
         entries.sort()
         records = [KeyedRecord(key, value) for _, key, value in entries]
         return Batch(records, end_offset, end_offset)
@@ -111,8 +111,8 @@
 
     def _decode_offset(self, reply: Reply) -> int:
         try:
-            return int(self._decode(reply)["offset"])
-        except MALFORMED as error:
+            return read_whole(self._decode(reply), "offset")
+        except ValueError as error:
             # The status says that the records were stored.
             raise LogError(f"log-append returned a malformed answer: {error}", True) from None
 
@@ -123,9 +123,29 @@
             raise LogError(str(error), True) from None
 
 
-def _decode_item(item: dict) -> tuple[int, str, bytes]:
-    """Returns the offset, the key and the value of an entry of a page of newest records."""
-    return int(item["offset"]), str(item["key"]), base64.b64decode(item["value"])
+def _decode_items(items: list) -> list[tuple[int, str, bytes]]:
+    """Returns the offset, the key and the value of each entry of a page of newest records.
+
+    An odd entry is logged and left out.
+    """
+    entries = []
+    for item in items:
+        try:
+            raw = check_object(item, "item")
+            text = check_text(raw.get("value"), "value", MAX_BODY_BYTES)
+            value = base64.b64decode(text, validate=True)
+            entries.append((read_whole(raw, "offset"), read_text(raw, "key"), value))
+        except ValueError as error:
+            log("log:unreadable", error=str(error))
+    return entries
+
+
+def _get_next_key(item: object, before: str | None) -> str:
+    """Returns the key after which the next page begins, the last one of this page."""
+    key = read_text(check_object(item, "item"), "key")
+    if key == before:
+        raise ValueError("key: the page does not go on from the one before")
+    return key
 
 
 def _frame_record(record: KeyedRecord) -> bytes:
@@ -143,6 +163,7 @@
 
     The body holds the end offset of the log, the first retained offset, and then the records. Each
     record is preceded by its length and consists of the length of the key, the key and the value.
+    One that doesn't is taken for a record without a key, since readers count the records.
     """
     end_offset, _ = READ_HEADER.unpack_from(body)
     position, records = READ_HEADER.size, []
@@ -153,6 +174,13 @@
         if len(record) < size:
             raise ValueError("the last record is cut short")
         position += size
-        key_end = 1 + record[0]
-        records.append(KeyedRecord(record[1:key_end].decode(), record[key_end:]))
+        records.append(_parse_record(record))
     return Batch(records, offset + len(records), end_offset)
+
+
+def _parse_record(record: bytes) -> KeyedRecord:
+    key_end = 1 + record[0] if record else 1
+    if key_end > len(record):
+        log("log:unreadable", size=len(record))
+        return KeyedRecord("", b"")
+    return KeyedRecord(record[1:key_end].decode(errors="replace"), record[key_end:])
