Check the types in the system's own records when they are read

A record of a job with a word for its priority, or of a term with a word for its number, was taken over; the leader's ranking then raised an error in every tick, for all jobs, or no node could stand for election any more. A record of 1 MB could fill the memory of every node that read it.

Cause: the class of the odd entries of the registry: decoders that convert instead of check.

Change: the plain fields of jobs, terms and nodes must have their types, and a record may have 16 MiB unpacked. An odd record is logged and passed over, as before.

--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -8,6 +8,7 @@
 
 import enum
 import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import orjson
@@ -114,6 +115,7 @@
 
 
 COMPRESSION_LEVEL = 1
+MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
 # The first field of a load report. A node that doesn't know the version ignores the report.
 LOAD_REPORT_VERSION = 1
 # The bounds of a load report, which every node reads once a second under load.
@@ -133,6 +135,7 @@
 # The names of the extras of a step's row in a progress record.
 _LAST_FAILED_RUN = "g"
 _CRASHES = "c"
+_PLAIN_TYPES = frozenset({bool, int, float, str})
 _STEP_FIELDS = StepSpec.__dataclass_fields__
 _SCALAR_STEP_FIELDS = [name for name in _STEP_FIELDS if name not in ("need", "after")]
 
@@ -150,9 +153,9 @@
 
 
 def _decode_step(fields: dict) -> StepSpec:
-    fields["need"] = Resources(*fields["need"])
-    fields["after"] = tuple(fields.get("after", ()))
-    return StepSpec(**fields)
+    fields["need"] = Resources(*_check_all(fields["need"], int))
+    fields["after"] = tuple(_check_all(fields.get("after", ()), int))
+    return StepSpec(**_check_fields(fields, StepSpec))
 
 
 def _encode_queue(queue: JobQueue) -> dict:
@@ -164,8 +167,29 @@
 
 def _decode_queue(fields: dict) -> JobQueue:
     if fields["advice"] is not None:
-        fields["advice"] = AdviceTimes(*fields["advice"])
-    return JobQueue(**fields)
+        fields["advice"] = AdviceTimes(*_check_all(fields["advice"], float))
+    return JobQueue(**_check_fields(fields, JobQueue))
+
+
+def _check_fields(fields: dict, data_class: type) -> dict:
+    """Returns the fields of a data class; raises ``TypeError`` if a plain one has another type."""
+    for name, value in fields.items():
+        expected = data_class.__dataclass_fields__[name].type
+        if expected in _PLAIN_TYPES:
+            _check(value, expected)
+    return fields
+
+
+def _check_all(values: Iterable, expected: type) -> list:
+    return [_check(value, expected) for value in values]
+
+
+def _check(value: object, expected: type):
+    """Returns a value of a plain type; a whole number is a ``float`` too, but no flag is."""
+    allowed = (int, float) if expected is float else expected
+    if not isinstance(value, allowed) or (isinstance(value, bool) and expected is not bool):
+        raise TypeError(f"a {type(value).__name__} stands where a {expected.__name__} belongs")
+    return value
 
 
 def _compress_json(fields: object) -> bytes:
@@ -174,10 +198,14 @@
 
 
 def _decompress_json(value: bytes) -> object:
+    decompressor = zlib.decompressobj()
     try:
-        return orjson.loads(zlib.decompress(value))
+        text = decompressor.decompress(value, MAX_DECOMPRESSED_BYTES)
     except zlib.error as error:
         raise ValueError(f"not a zlib-compressed record: {error}") from error
+    if not decompressor.eof:
+        raise ValueError("a compressed record is cut short or too large")
+    return orjson.loads(text)
 
 
 def encode_job(job: Job) -> bytes:
@@ -199,8 +227,12 @@
     """Decodes a job encoded by :func:`encode_job`."""
     raw = _decompress_json(value)
     steps = tuple(_decode_step(fields) for fields in raw["steps"])
-    spec = JobSpec(raw["payload"], steps, *raw["times"])
-    return Job(job_id, raw["team"], _decode_queue(raw["queue"]), spec, raw["at"])
+    repeats, *times = raw["times"]
+    spec = JobSpec(
+        _check(raw["payload"], str), steps, _check(repeats, int), *_check_all(times, float)
+    )
+    team, accepted_s = _check(raw["team"], str), _check(raw["at"], float)
+    return Job(job_id, team, _decode_queue(raw["queue"]), spec, accepted_s)
 
 
 def encode_progress(progress: Progress, at_s: float) -> bytes:
@@ -277,8 +309,8 @@
 
 
 def decode_term(value: bytes) -> Term:
-    """Decodes a leader term."""
-    return Term(*orjson.loads(value))
+    """Decodes a leader term; raises ``ValueError`` or ``TypeError`` for any other content."""
+    return _decode_row_as(Term, value)
 
 
 def encode_node(record: NodeRecord) -> bytes:
@@ -287,8 +319,16 @@
 
 
 def decode_node(value: bytes) -> NodeRecord:
-    """Decodes the address and the capacity of a node."""
-    return NodeRecord(*orjson.loads(value))
+    """Decodes the address and the capacity of a node, as :func:`decode_term` does a term."""
+    return _decode_row_as(NodeRecord, value)
+
+
+def _decode_row_as(data_class: type, value: bytes):
+    row = orjson.loads(value)
+    names = data_class.__dataclass_fields__
+    if not isinstance(row, list) or len(row) > len(names):
+        raise ValueError(f"must be a list of at most {len(names)} fields")
+    return data_class(**_check_fields(dict(zip(names, row, strict=False)), data_class))
 
 
 def encode_load_report(report: LoadReport) -> bytes:
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -9,6 +9,7 @@
 
 from ..core.resource import Resources
 from .data import (
+    AdviceTimes,
     CrashRecord,
     Job,
     JobQueue,
@@ -32,17 +33,22 @@
     find_state,
 )
 from .record import (
+    MAX_DECOMPRESSED_BYTES,
     MAX_REPORTED_QUEUES,
     KeyedRecord,
     LoadReport,
+    NodeRecord,
     QueueWait,
     RecordKind,
     Term,
     decode_job,
     decode_load_report,
+    decode_node,
     decode_progress,
+    decode_term,
     encode_job,
     encode_load_report,
+    encode_node,
     encode_progress,
     encode_term,
     make_key,
@@ -200,3 +206,49 @@
     assert len(value) < 8192
     decoded = decode_load_report(value)
     assert len(decoded.waits) == MAX_REPORTED_QUEUES and "queue-0999" in decoded.waits
+
+
+ODD_VALUES = [None, True, "x", -1.5, [1], {"a": 1}]
+
+
+@pytest.mark.parametrize("index", range(len(NodeRecord.__dataclass_fields__)))
+def test_node_or_term_with_a_field_of_another_type_is_not_taken_over(index):
+    node = NodeRecord("n0", "a", "127.0.0.1", 1, "n0~1", 1.0)
+    row = orjson.loads(encode_node(node))
+    names = list(NodeRecord.__dataclass_fields__)
+    for odd in ODD_VALUES:
+        expected = NodeRecord.__dataclass_fields__[names[index]].type
+        if type(odd) is expected:
+            continue
+        with pytest.raises((TypeError, ValueError)):
+            decode_node(orjson.dumps([*row[:index], odd, *row[index + 1 :]]))
+    for odd in ODD_VALUES:
+        with pytest.raises((TypeError, ValueError)):
+            decode_term(orjson.dumps([odd, "n0", "n0~1"]))
+    for content in (b"{}", b"7", b"[]", orjson.dumps([*row, 1])):
+        with pytest.raises((TypeError, ValueError)):
+            decode_node(content)
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["queue.priority", "queue.name", "queue.stretch", "queue.advice", "steps.0.count"]
+    + ["steps.0.need", "steps.0.after", "steps.0.gang", "steps.0.label", "team", "at", "payload"],
+)
+def test_job_with_a_field_of_another_type_is_not_taken_over(path):
+    queue = JobQueue("q", "x.example", "/q/", "planner", advice=AdviceTimes(1.0, 1.0, 1.0))
+    step = StepSpec(1, Resources(1, 1), gang=True, label="large", after=())
+    job = Job("a", "team", queue, JobSpec("text", (step,)), 1.0)
+    raw = orjson.loads(zlib.decompress(encode_job(job)))
+    *parents, last = [int(part) if part.isdecimal() else part for part in path.split(".")]
+    place = raw
+    for part in parents:
+        place = place[part]
+    place[last] = {"odd": [1]}
+    with pytest.raises((TypeError, ValueError)):
+        decode_job("a", zlib.compress(orjson.dumps(raw)))
+
+
+def test_record_that_would_fill_the_memory_is_not_taken_over():
+    with pytest.raises(ValueError):
+        decode_job("a", zlib.compress(b" " * (MAX_DECOMPRESSED_BYTES + 1)))
