--- a/caroblead/node/peer.py
+++ b/caroblead/node/peer.py
@@ -15,6 +15,9 @@
 
 # How much longer than its requested wait a request for the state of a job may take.
 STATE_SLACK_S = 0.15
+# No request for the state of a job is kept open for longer.
+MAX_STATE_WAIT_S = 2.0
+KNOWN_STATES = frozenset(map(str, JobState))
 # A peer that does not answer within this time isn't chosen as the next leader.
 ALIVE_TIMEOUT_S = 0.25
 
@@ -61,7 +64,8 @@
     async def _answer_state(self, message: ttypes.AskState, envelope) -> ttypes.StateReply:
         if self.notifier is None or not self.notifier.is_leading():
             return ttypes.StateReply(state=None)
-        state = await self.notifier.wait_for_end(message.job, message.wait_ms / 1000)
+        wait_s = min(max(0.0, message.wait_ms / 1000), MAX_STATE_WAIT_S)
+        state = await self.notifier.wait_for_end(message.job, wait_s)
         return ttypes.StateReply(state=None if state is None else str(state))
 
     async def ask_state(self, record: NodeRecord, job: str, wait_s: float) -> JobState | None:
@@ -75,7 +79,7 @@
             reply = await self.rpc_client.call(address, message, wait_s + STATE_SLACK_S)
         except CallError:
             return None
-        return JobState(reply.state) if reply.state else None
+        return JobState(reply.state) if reply.state in KNOWN_STATES else None
 
     async def is_alive(self, record: NodeRecord) -> bool:
         """Returns whether a peer answers a call within :data:`ALIVE_TIMEOUT_S`."""
--- a/caroblead/platform/advisor.py
+++ b/caroblead/platform/advisor.py
@@ -1,6 +1,7 @@
 """Client of the platform's advice service, which decides on which VMs a step may run."""
 
 from ..dispatch.interface import Advice
+from .fields import check_list, check_text, read_list
 from .http import CallFailedError, HttpClient
 
 
@@ -21,6 +22,14 @@
             reply = await self.http.post(self.url, message, timeout_s)
             if reply.status != 200:
                 return Advice(None)
-            return Advice({str(row[0]): str(row[1]) for row in reply.decode()["allowed"]})
-        except (CallFailedError, KeyError, TypeError, IndexError):
+            return Advice(dict(map(_decode_row, read_list(reply.decode(), "allowed"))))
+        except (CallFailedError, ValueError):
             return Advice(None)
+
+
+def _decode_row(row: object) -> tuple[str, str]:
+    """Returns the VM and the ticket of a row."""
+    fields = check_list(row, "allowed")
+    if len(fields) < 2:
+        raise ValueError("allowed: a row must have a VM and a ticket")
+    return check_text(fields[0], "allowed"), check_text(fields[1], "allowed")
--- a/caroblead/platform/malformed_test.py
+++ b/caroblead/platform/malformed_test.py
@@ -10,6 +10,7 @@
 
 from ..core.outcome import LogError
 from ..dispatch.interface import (
+    Advice,
     Batch,
     HoldAnswer,
     NoAnswer,
@@ -109,6 +110,14 @@
     assert asyncio.run(advisor.ask("a.0.0", ["vm"], 1.0)) is not None
 
 
+@pytest.mark.parametrize(
+    "allowed", ["ab", ["ab"], {"ab": "cd"}, [["vm"]], [["vm", 5]], [[5, "t"]], [["vm", [["x"]]]]]
+)
+def test_odd_advice_is_no_advice(allowed):
+    advisor = PlatformAdvisor(FakeHttp(200, encode({"allowed": allowed})), "127.0.0.1:1")
+    assert asyncio.run(advisor.ask("a.0.0", ["vm"], 1.0)) == Advice(None)
+
+
 @given(MESSAGES | VALUES, st.binary(max_size=60))
 def test_answers_of_the_store_are_read_or_are_log_errors(message, records):
     pages = PlatformLog(FakeHttp(200, encode(message)), "127.0.0.1:1", "keyed.t")
