Bound a read that hangs by the time after which a node counts as connected again

A read of all newest records that was sent into a cut hung for 5 s a page, and a node that is in touch again 3 s after a cut could go on with an old copy for two of them. On a link of 5 Mbit/s a version of 256 KB and a page took longer than was waited for beside other traffic.

Change: 2 s for a page and 0.5 s for a read, and twice the time that its transfer takes on the node's link.

Evidence: the new test fails for links of 100 and 1,000 Mbit/s without the change.

--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -18,16 +18,29 @@
 # Upper bound on the response of one read. A node that is far behind reads the log in several parts,
 # and a slow link can transfer each part within the timeout of a read.
 MAX_READ_KB = 128
-READ_NEWEST_TIMEOUT_S = 5.0
+# A read that hangs must end sooner than the node counts as connected again after a cut.
+READ_NEWEST_TIMEOUT_S = 2.0
+# The largest page of newest records, in base64, and the largest record that a read returns.
+MAX_PAGE_BYTES = 1_500_000
+MAX_RECORD_BYTES = 262_144
+# Other traffic of the node takes its part of the link.
+TRANSFER_FACTOR = 2.0
 # The store has appended nothing when it responds with one of these statuses.
 REFUSED_STATUSES = frozenset({429, 503, 507})
 
 
+def compute_transfer_s(size_bytes: int, link_mbps: float) -> float:
+    """Returns how long a response of this size may take on a link, in seconds."""
+    return TRANSFER_FACTOR * size_bytes * 8 / (link_mbps * 1e6)
+
+
 class PlatformLog:
-    """Partition 0 of a topic in the platform's log store."""
+    """Partition 0 of a topic in the platform's log store, read over a link of ``link_mbps``."""
 
-    def __init__(self, http: HttpClient, address: str, topic: str):
+    def __init__(self, http: HttpClient, address: str, topic: str, link_mbps: float = 1000.0):
         self.http = http
+        self.read_margin_s = READ_TIMEOUT_MARGIN_S + compute_transfer_s(MAX_RECORD_BYTES, link_mbps)
+        self.page_timeout_s = READ_NEWEST_TIMEOUT_S + compute_transfer_s(MAX_PAGE_BYTES, link_mbps)
         self.base_url = f"http://{address}/api"
         self.partition_query = f"topic={quote(topic)}&part=0"
 
@@ -62,7 +75,7 @@
         )
         if wait_s > 0:
             url += f"&waitMs={int(wait_s * 1000)}"
-        reply = await self._call("GET", url, wait_s + READ_TIMEOUT_MARGIN_S)
+        reply = await self._call("GET", url, wait_s + self.read_margin_s)
         if reply.status == 410:
             raise HistoryGoneError(
                 f"the requested records have expired (the store sent {reply.body!r})"
@@ -84,7 +97,7 @@
             url = f"{self.base_url}/log-newest?{self.partition_query}"
             if after is not None:
                 url += f"&after={quote(after, safe='')}"
-            reply = await self._call("GET", url, READ_NEWEST_TIMEOUT_S)
+            reply = await self._call("GET", url, self.page_timeout_s)
             if reply.status != 200:
                 raise LogError(f"log-newest returned status {reply.status}", False)
             try:
--- a/caroblead/platform/log_test.py
+++ b/caroblead/platform/log_test.py
@@ -98,6 +98,27 @@
     assert batch.next_offset == 3
 
 
+# How long after a cut a node that reaches the store must know all that the log has.
+CONTACT_S = 3.0
+
+
+@pytest.mark.parametrize("link_mbps", [5.0, 100.0, 1000.0])
+def test_read_that_gets_no_answer_ends_in_time_and_one_over_a_thin_link_is_waited_for(link_mbps):
+    class Silent:
+        async def call(self, method, url, timeout_s, body=None, headers=None):
+            timeouts.append(timeout_s)
+            raise CallFailedError("no response", True)
+
+    timeouts = []
+    log = PlatformLog(Silent(), "127.0.0.1:1", "keyed.t", link_mbps)
+    for read in (log.read(0, 0.4), log.read_newest()):
+        with pytest.raises(LogError):
+            asyncio.run(read)
+    transfers_s = [size * 8 / (link_mbps * 1e6) for size in (262_144, 1_400_000)]
+    for timeout_s, transfer_s in zip(timeouts, transfers_s, strict=True):
+        assert transfer_s + 0.4 < timeout_s < CONTACT_S + 2 * transfer_s
+
+
 def test_response_that_is_too_large_for_the_memory_is_given_up():
     async def main():
         async def answer(request: web.BaseRequest) -> web.StreamResponse:
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -57,10 +57,14 @@
 
     The seed of its random numbers is made of its name and the process id.
     """
+
+    def make_log(topic: str) -> PlatformLog:
+        return PlatformLog(store_http, settings.store, topic, settings.link_mbps)
+
     adapters = NodeAdapters(
-        ledger_log=PlatformLog(store_http, settings.store, LEDGER_TOPIC),
-        configuration_log=PlatformLog(store_http, settings.store, configuration.TOPIC),
-        registry_log=PlatformLog(store_http, settings.store, registry.TOPIC),
+        ledger_log=make_log(LEDGER_TOPIC),
+        configuration_log=make_log(configuration.TOPIC),
+        registry_log=make_log(registry.TOPIC),
         vms=PlatformVms(vm_http),
         advisor=PlatformAdvisor(store_http, settings.advisor),
     )
