Let no record of the log stop the readers of the product's own configuration

What callers saw: not seen. A record that isn't JSON, or lacks a field, raised an error in gate and placer; both read it again for ever and no later ticket came in force.

Cause: the class of the odd entries of the registry, in the product's own interface.

Change: such a record is logged and passed over, and a ticket without a nonce has no effect anywhere.

--- a/caroblead/fleet/follower.py
+++ b/caroblead/fleet/follower.py
@@ -41,6 +41,7 @@
 # After an append the log is read up to this many times to find the result of the ticket.
 READBACK_ATTEMPTS = 5
 READBACK_DELAY_S = 0.3
+MAX_ERROR_LENGTH = 200
 
 
 class Follower:
@@ -88,7 +89,7 @@
                     self.in_gap = True
                     self.deferred_tickets.clear()
                 for index, text in enumerate(page.records):
-                    self._apply_record(page.start + index, json.loads(text))
+                    self._apply_or_log(page.start + index, text)
                 self.offset = max(self.offset, page.next)
                 if not page.records:
                     self._confirm()
@@ -109,11 +110,19 @@
             await asyncio.wait_for(self.read_log(), FETCH_TIMEOUT_S)
         self._confirm()
 
+    def _apply_or_log(self, offset: int, text: str):
+        """Applies a record; one that raises any error is logged and never read again."""
+        try:
+            self._apply_record(offset, json.loads(text))
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH]
+            eliot.log_message("config:unreadable", offset=offset, error=detail)
+
     def _apply_record(self, offset: int, record: dict):
         if "state" in record:
             self._apply_snapshot(record)
             return
-        ticket = read_ticket(record["ticket"]).value
+        ticket, nonce = read_ticket(record["ticket"]).value, record["nonce"]
         if ticket is None:
             return
         if self.in_gap:
@@ -121,7 +130,7 @@
             return
         previous_number = self.state.number
         faults = apply_ticket(self.state, ticket)
-        self.faults_by_nonce[record["nonce"]] = faults
+        self.faults_by_nonce[nonce] = faults
         if self.state.number != previous_number:
             self._notify_change()
 
