Keep quota for a team's more urgent steps while their VMs have room

Change: with the setting kept_quota, quota is kept for the first three steps of a team that lack it, for as many tasks as the VMs that they may use have room for; a gang needs room for all. Advice is asked ahead about such a step of which nothing is known, unless it is a gang.

--- a/caroblead/dispatch/features.py
+++ b/caroblead/dispatch/features.py
@@ -11,8 +11,9 @@
     operators evacuate; 0 means that they never evacuate one. The others are described where they
     are decided: ``admission`` in :mod:`caroblead.dispatch.loadreport`, ``fair_share`` in
     :mod:`caroblead.dispatch.share`, ``learned_durations`` in
-    :mod:`caroblead.dispatch.learning.duration`, ``backfill`` in :mod:`caroblead.dispatch.backfill`
-    and ``sized_advice`` in :mod:`caroblead.dispatch.advice.advicesize`.
+    :mod:`caroblead.dispatch.learning.duration`, ``backfill`` in :mod:`caroblead.dispatch.backfill`,
+    ``sized_advice`` in :mod:`caroblead.dispatch.advice.advicesize` and ``kept_quota`` in
+    :mod:`caroblead.dispatch.quota`.
     """
 
     evacuation_s: float = 0.0
@@ -21,3 +22,4 @@
     learned_durations: bool = False
     backfill: bool = False
     sized_advice: bool = False
+    kept_quota: bool = False
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -188,7 +188,8 @@
     than ``start_until_s``. ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not
     learned.
     ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use,
-    and ``backfilled_runs`` the runs started on VMs that were reserved for another step.
+    and ``backfilled_runs`` the runs started on VMs that were reserved for another step. In the last
+    tick, quota was kept for ``steps_keeping_quota``.
     """
 
     rows: dict[str, VmRow] = field(default_factory=dict)
@@ -201,6 +202,7 @@
     speeds: SpeedTable | None = None
     lapsed_holds: int = 0
     backfilled_runs: int = 0
+    steps_keeping_quota: int = 0
 
 
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
--- a/caroblead/dispatch/makeroom.py
+++ b/caroblead/dispatch/makeroom.py
@@ -1,9 +1,9 @@
 """Makes room for a step that finds none: evicts less urgent runs, or reserves VMs for a gang."""
 
-from ..core.resource import NOTHING
 from .backfill import choose_bounded_evictions, evict_backfilled
 from .eviction import choose_evictions, choose_vms_to_reserve, count_fit
 from .fleet import VmRow
+from .quota import get_taken
 from .rank import Tier
 from .reservation import hold_vms, keep_vms
 from .room import PlanningState, count_allowance
@@ -26,8 +26,8 @@
 
 def make_room(state: PlanningState, step: StepWork, rank: tuple, candidates, team, missing: int):
     """Evicts less urgent runs for a step, or reserves VMs for a gang until enough runs end."""
-    used = state.used.get(step.work.job.team, NOTHING)
-    allowance = count_allowance(team, used, step.spec.need)
+    taken = get_taken(state.quota, state.used, step.work.job.team)
+    allowance = count_allowance(team, taken, step.spec.need)
     if allowance <= 0 or (step.spec.gang and allowance < missing):
         return
     if state.reservations.count(step.key):
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -24,6 +24,7 @@
 )
 from .makeroom import list_open_for, make_room, may_make_room
 from .orderwindow import OrderLimits
+from .quota import count_room, get_taken, keep_quota, may_ask_ahead, may_keep
 from .rank import Tier, rank_steps
 from .reservation import ReservationTable, hold_vms
 from .room import (
@@ -106,6 +107,7 @@
         pool = find_pool(state, service, step.spec.label)
         _plan_step(state, step, rank, pool, configuration.teams.get(job.team))
     state.plan.lapsed = reservations.lapsed
+    fleet.steps_keeping_quota = state.quota.steps.total()
     if shares is not None and _has_step_without_room(state, ranked, configuration):
         note_without_room(shares, now_s)
     return state.plan
@@ -147,10 +149,15 @@
             rows = [row for _, row in chosen]
             if hold_vms(state.reservations, step, rank, rows, ADVICE_HOLD_S):
                 book_room(state, step, chosen)
+                return
+        if fitting and state.features.kept_quota:
+            _keep_quota(state, step, rank, candidates, len(step.waiting), team)
         if chosen:
             return
     else:
         _add_placements(state, step, chosen)
+        if fitting and state.features.kept_quota:
+            _keep_quota(state, step, rank, candidates, len(step.waiting) - len(chosen), team)
     if step.spec.gang and len(step.waiting) < step.spec.count:
         # It can't start before its former members have ended, whose VMs may not answer for long.
         return
@@ -164,6 +171,21 @@
         make_room(state, step, rank, open_rows, team, missing)
 
 
+def _keep_quota(state: PlanningState, step: StepWork, rank: tuple, candidates, missing: int, team):
+    """Keeps quota for the tasks of a step that lacks it, or asks ahead where they could run."""
+    step.advice.ahead = False
+    if not missing or not may_keep(state.quota, step, team):
+        return
+    taken = get_taken(state.quota, state.used, step.work.job.team)
+    if count_allowance(team, taken, step.spec.need) >= missing:
+        return
+    if not candidates:
+        step.advice.ahead = may_ask_ahead(state.quota, step, rank)
+        return
+    room = count_room(step, candidates, state.free, missing)
+    keep_quota(state.quota, step, rank, missing, room)
+
+
 def _has_tickets(step: StepWork, chosen, terms, state: PlanningState) -> bool:
     margin_s = min(state.limits.ticket_margin_s, MAX_MARGIN_FRACTION * terms.valid_s)
     valid_s = terms.valid_s - margin_s
@@ -197,8 +219,8 @@
     need = get_booked_need(step.spec)
     has_crashed = bool(step.step_progress.crashes)
     indexes = list_startable(step) if has_crashed else sorted(step.waiting)
-    used = state.used.get(step.work.job.team, NOTHING)
-    allowance = count_allowance(team, used, step.spec.need)
+    taken = get_taken(state.quota, state.used, step.work.job.team)
+    allowance = count_allowance(team, taken, step.spec.need)
     if step.spec.gang:
         if len(indexes) < step.spec.count or allowance < len(indexes):
             return []
--- a/caroblead/dispatch/room.py
+++ b/caroblead/dispatch/room.py
@@ -13,6 +13,7 @@
 from .interface import TeamLimits
 from .isolation import IsolationState
 from .orderwindow import OrderLimits
+from .quota import QuotaTable
 from .reservation import ReservationTable
 from .work import StepWork, get_booked_need
 
@@ -85,6 +86,7 @@
     steps: dict[StepKey, StepWork] = field(default_factory=dict)
     earliest_starts: dict[StepKey, float] = field(default_factory=dict)
     log_speeds: dict[str, float] = field(default_factory=dict)
+    quota: QuotaTable = field(default_factory=QuotaTable)
     evictions_left: int = MAX_EVICTIONS_PER_TICK
     searches_left: int = MAX_SEARCHES_PER_TICK
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -289,7 +289,9 @@
     job = step.work.job
     team = state.dependencies.get_configuration().teams.get(job.team)
     used = state.fleet.used.get(job.team, NOTHING)
-    tasks = min(len(step.waiting), count_allowance(team, used, step.spec.need))
+    tasks = len(step.waiting)
+    if not step.advice.ahead:
+        tasks = min(tasks, count_allowance(team, used, step.spec.need))
     if step.spec.gang and tasks < step.spec.count:
         return []
     rows = [
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -16,7 +16,7 @@
     ``asked`` are the VMs about which it has been asked. Whether a VM is ``allowed`` never changes
     once it has been asked about; ``tickets`` are valid for a limited time, counted from
     ``received_s``. A request is ``pending`` until its answer arrives; none is sent before
-    ``retry_s``.
+    ``retry_s``. Requests are sent ``ahead`` although the team has no quota left.
     """
 
     asked: set[str] = field(default_factory=set)
@@ -25,6 +25,7 @@
     received_s: float = 0.0
     pending: bool = False
     retry_s: float = 0.0
+    ahead: bool = False
 
 
 @dataclass(slots=True)
--- a/caroblead/node/gauges.py
+++ b/caroblead/node/gauges.py
@@ -38,6 +38,7 @@
         gauges["vms_reserved"] = float(len(leader.fleet.reservations))
         gauges["reservations_lapsed_total"] = float(leader.fleet.lapsed_holds)
         gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
+        gauges["steps_keeping_quota"] = float(leader.fleet.steps_keeping_quota)
         gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
         gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
         gauges.update(leader.learning.list_gauges())
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -85,6 +85,7 @@
     learned_durations: bool = _define_switch()
     backfill: bool = _define_switch()
     sized_advice: bool = _define_switch()
+    kept_quota: bool = _define_switch()
     relay: bool = _define_switch()
 
 
@@ -103,6 +104,7 @@
         learned_durations=settings.learned_durations,
         backfill=settings.backfill,
         sized_advice=settings.sized_advice,
+        kept_quota=settings.kept_quota,
     )
 
 
