Show no state of a job that may have ended meanwhile

What callers saw: 'in_progress' for 2 s and more after their job had ended, at nodes of a zone that was cut off.

Change: such a state may be 2 s old, as a count; an older one is asked of a peer, or the question is rejected with 503. A state in which a job has ended never changes and is always told.

The new test fails without the change.

--- a/caroblead/node/lagging_test.py
+++ b/caroblead/node/lagging_test.py
@@ -17,7 +17,7 @@
 )
 from ..standin.work import make_spec, make_step
 from .answer import Cancelled, Counted, Rejected, Shown
-from .requesthandler import MAX_COUNT_AGE_S
+from .requesthandler import MAX_ANSWER_AGE_S
 
 # The slow link transfers a record in this time, and the leader alone writes four records a second.
 READ_DELAY_S = 0.4
@@ -146,7 +146,7 @@
         site.faults_by_node[cut].down = True
         await submit(site, find_leader(site), make_spec(make_step(1), seconds=60))
         assert await handler.count(QUEUES["checks"]) == Counted(0)
-        await asyncio.sleep(MAX_COUNT_AGE_S)
+        await asyncio.sleep(MAX_ANSWER_AGE_S)
         answer = await handler.count(QUEUES["checks"])
         assert answer.fault.reason is Reason.LOG_DOWN
         site.faults_by_node[cut].down = False
@@ -155,3 +155,28 @@
         return site
 
     run_scenario(scenario)
+
+
+def test_node_that_is_cut_off_shows_no_state_that_may_have_ended_meanwhile():
+    async def scenario():
+        site = await start_site()
+        cut = next(name for name in site.nodes if name != find_leader(site))
+        node = site.nodes[cut]
+        job = await submit(site, cut, make_spec(make_step(1), seconds=1))
+        await asyncio.sleep(0.5)
+        site.faults_by_node[cut].down = True
+        node.notifier.ask_leader = ignore_question
+        assert await node.request_handler.show(job) == Shown(JobState.RUNNING)
+        await asyncio.sleep(MAX_ANSWER_AGE_S)
+        answer = await node.request_handler.show(job)
+        assert isinstance(answer, Rejected) and answer.fault.reason is Reason.LOG_DOWN
+        site.faults_by_node[cut].down = False
+        await asyncio.sleep(1)
+        assert await node.request_handler.show(job) == Shown(JobState.DONE)
+        # What has ended never changes again.
+        site.faults_by_node[cut].down = True
+        await asyncio.sleep(MAX_ANSWER_AGE_S + 1)
+        assert await node.request_handler.show(job) == Shown(JobState.DONE)
+        return site
+
+    run_scenario(scenario)
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -34,8 +34,8 @@
 ANSWER_MARGIN_S = 0.2
 # How long an unknown job is searched for in the log before the caller is told that there is none.
 LOOKUP_TIMEOUT_S = 1.0
-# The number of waiting jobs may be this old.
-MAX_COUNT_AGE_S = 2.0
+# The number of waiting jobs, or the state of a job that hasn't ended, may be this old.
+MAX_ANSWER_AGE_S = 2.0
 # A node whose last read of the configuration, which is read all the time, is older than this, and
 # whose appends fail, rejects jobs without trying to store them.
 LOG_LOST_AGE_S = 1.0
@@ -183,14 +183,22 @@
         )
         return Shown(state)
 
-    async def _get_newest_state(self, job_id: str) -> JobState | None:
+    async def _get_newest_state(self, job_id: str) -> JobState | Rejected | None:
         newest = await self.notifier.ask(job_id)
         if newest is None:
             await self.ledger_tail.refresh()
         own = find_state(self.get_ledger(), job_id)
         # A final state or a cancellation that this node knows of takes precedence, because the
         # leader may not have read it when it answered.
-        return own if own in FINAL_STATES or newest is None else newest
+        if own in FINAL_STATES or newest is not None:
+            return own if own in FINAL_STATES else newest
+        if not await self._is_ledger_recent():
+            return self._reject_unread_log()
+        return find_state(self.get_ledger(), job_id)
+
+    async def _is_ledger_recent(self) -> bool:
+        """Returns whether an answer that may be :data:`MAX_ANSWER_AGE_S` old can be given."""
+        return self.ledger_tail.get_age_s() <= MAX_ANSWER_AGE_S or await self._catch_up()
 
     async def cancel(self, job_id: str, budget_s: float) -> Cancelled | Rejected | InDoubt:
         """Cancels a job permanently, unless it has already ended."""
@@ -230,9 +238,8 @@
 
     async def count(self, queue: JobQueue) -> Counted | Rejected:
         """Returns the number of jobs in a queue of which no task has started."""
-        tail = self.ledger_tail
-        await tail.refresh()
-        if tail.get_age_s() > MAX_COUNT_AGE_S and not await self._catch_up():
+        await self.ledger_tail.refresh()
+        if not await self._is_ledger_recent():
             return self._reject_unread_log()
         return Counted(count_waiting(self.get_ledger(), queue.name))
 
