Reject a call that no peer can serve sooner

What callers saw: calls at a node of a cut zone were held for up to a second for each of two peers out of reach, again every second, before they were rejected.

Cause: each peer was tried anew 1 s after it had failed, with a second to accept a connection.

--- a/caroblead/platform/http.py
+++ b/caroblead/platform/http.py
@@ -73,7 +73,12 @@
     A connection whose call gets no response within its timeout is closed.
     """
 
-    def __init__(self, connections_per_host: int = CONNECTIONS_PER_HOST):
+    def __init__(
+        self,
+        connections_per_host: int = CONNECTIONS_PER_HOST,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ):
+        self.connect_timeout_s = connect_timeout_s
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
@@ -90,7 +95,7 @@
         self, method: str, url: str, timeout_s: float, body: bytes | None = None, headers=None
     ) -> Reply:
         """Sends a request and returns the reply, or raises :class:`CallFailedError`."""
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=self.connect_timeout_s)
         try:
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=timeout
--- a/caroblead/platform/relay.py
+++ b/caroblead/platform/relay.py
@@ -103,6 +103,7 @@
                 peer_version=version,
             )
             if self._may_hand_out(reply, version, is_question):
+                self.choice.note_success(peer)
                 self.access.note_shown(version or 0)
                 return _make_response(reply)
             self.choice.note_failure(peer, get_elapsed_s())
--- a/caroblead/platform/relay_test.py
+++ b/caroblead/platform/relay_test.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import socket
 
 import pytest
 from aiohttp import web
@@ -15,9 +16,10 @@
 from ..standin.cluster import publish_config, run_scenario, start_site
 from .frontend import Frontend
 from .frontend_test import BODY, JOB, RpcClient, _make_spec
-from .http import HttpClient
+from .http import CallFailedError, HttpClient
 from .listener import Listener
 from .relay import Relay
+from .serve import PEER_CONNECT_TIMEOUT_S
 
 # Longer than a node may go on with keys that it has not read anew.
 OUTAGE_S = 6.0
@@ -217,3 +219,28 @@
             assert (await caller.call("GET", "/c/")).status == 200
 
     run_with_peer(scenario, serve_second_node)
+
+
+def test_peer_that_accepts_no_connection_is_given_up_soon_and_certainly_got_nothing():
+    async def main():
+        listening = socket.socket()
+        listening.bind(("127.0.0.1", 0))
+        listening.listen(0)
+        address = listening.getsockname()
+        # The queue of connections that wait to be accepted is full after these.
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        http = HttpClient(connect_timeout_s=PEER_CONNECT_TIMEOUT_S)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        with pytest.raises(CallFailedError) as caught:
+            await http.call("POST", f"http://127.0.0.1:{address[1]}/", 5.0, b"")
+        assert not caught.value.sent
+        assert loop.time() - began_s < 1.0
+        await http.close()
+        for each in (*fillers, listening):
+            each.close()
+
+    asyncio.run(main())
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -35,6 +35,8 @@
 CONNECTIONS_PER_VM = 6
 CONNECTIONS_TO_STORE = 16
 CONNECTIONS_PER_PEER = 8
+# A peer that takes longer to accept a connection counts as out of reach.
+PEER_CONNECT_TIMEOUT_S = 0.3
 EXIT_USAGE = 2
 # Fraction of the grace period of a planned stop in which callers' connections are closed after the
 # drain, and how long the others may take.
@@ -118,7 +120,7 @@
     log("node:starting", zone=settings.zone, lease_s=settings.lease_s)
     store_http, vm_http = HttpClient(CONNECTIONS_TO_STORE), HttpClient(CONNECTIONS_PER_VM)
     node = make_node(settings, store_http, vm_http)
-    relay_http = HttpClient(CONNECTIONS_PER_PEER)
+    relay_http = HttpClient(CONNECTIONS_PER_PEER, PEER_CONNECT_TIMEOUT_S)
     frontend = Frontend(
         node.request_handler, node.is_ready, node.metrics, make_relay(node, relay_http)
     )
