Keep no quota for work that exceeds the whole quota of its team

Cause: a gang or a task above its team's quota can never start; while it was of use, quota was kept for it and the team's other work stopped.

Change: quota is kept only for a step that fits into an unused quota.

Evidence: the new test fails without the change.

--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -179,6 +179,9 @@
     taken = get_taken(state.quota, state.used, step.work.job.team)
     if count_allowance(team, taken, step.spec.need) >= missing:
         return
+    if count_allowance(team, NOTHING, step.spec.need) < (missing if step.spec.gang else 1):
+        # It exceeds the whole quota, and keeping some would only stop the team's other work.
+        return
     if not candidates:
         step.advice.ahead = may_ask_ahead(state.quota, step, rank)
         return
--- a/caroblead/dispatch/quota_test.py
+++ b/caroblead/dispatch/quota_test.py
@@ -73,6 +73,13 @@
         assert list_placed(plan(steps, fleet)) == placed
 
 
+def test_no_quota_is_kept_for_work_that_exceeds_the_whole_quota():
+    fleet = make_fleet(4)
+    gang = make_urgent(3, gang=True)
+    large = make_steps(StepSpec(1, Resources(9000, 1)), queue=URGENT, name="l")
+    assert list_placed(plan([*gang, *large, *make_small()], fleet)) == ["s"] * 4
+
+
 def test_other_teams_are_not_held_back():
     fleet = make_fleet_at_quota(4)
     others = make_steps(StepSpec(2, SMALL_NEED), queue=SMALL, name="o", team="other")
