Note each version that a peer shows while the copy is behind it

Cause: after a peer had shown a version that the log does not have, a lower one that is newer than the node's copy was not noted, and the node could go back behind it.

Change: a version is noted if it is higher than what a peer must have now.

Evidence: the extended test in access_test.py fails without the change.

--- a/caroblead/node/access.py
+++ b/caroblead/node/access.py
@@ -103,7 +103,7 @@
 
     def note_shown(self, version: int):
         """Notes that the answer of a peer with this version was passed to a caller."""
-        if version > max(self.view.version, self.shown.version):
+        if version > self.get_min_version():
             self.shown = SeenVersion(version, get_elapsed_s())
 
     def get_min_version(self) -> int:
--- a/caroblead/node/access_test.py
+++ b/caroblead/node/access_test.py
@@ -127,15 +127,19 @@
         access = site.nodes["n0"].access
         site.faults_by_node["n0"].down = True
         await asyncio.sleep(0.5)
-        access.note_shown(CHANGED_IN)
+        access.note_shown(CHANGED_IN + 1)
         answer = await access.decide(HOST, "/c/1", KEY)
         assert answer.fault.reason is Reason.NO_CONFIG
-        assert access.get_min_version() == CHANGED_IN
+        assert access.get_min_version() == CHANGED_IN + 1
         site.faults_by_node["n0"].down = False
         await asyncio.sleep(READ_S)
         # Nothing was published: what the peer showed does not hold against the log.
         assert isinstance(await access.decide(HOST, "/c/1", KEY), Admission)
         assert access.get_min_version() == 1
+        site.faults_by_node["n0"].down = True
+        await asyncio.sleep(0.5)
+        access.note_shown(CHANGED_IN)
+        assert access.get_min_version() == CHANGED_IN
         return site
 
     run_scenario(scenario)
