Start with any time within which changes must be in force

Cause: a node refused settings with an apply_ms of 500 or less, for which there is no reason: its denials then always wait for a read.

Change: apply_ms must be above 0.

--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -72,7 +72,7 @@
     store: str = _define_text(ADDRESS)
     advisor: str = _define_text(OPTIONAL_ADDRESS, default="")
     strict_keys: bool = attrs.field(validator=validators.instance_of(bool), default=True)
-    apply_ms: float = _define_number(2000, above=500)
+    apply_ms: float = _define_number(2000, above=0)
     revoke_ms: float = _define_number(5000, above=500)
     grace_s: float = _define_number(6.0, above=0, at_most=3600)
     lease_s: float = _define_number(8.0, above=1, at_most=9.5)
