Leave out stored jobs with more tasks than a leader can keep

Cause: the bound on the tasks of a job was checked for callers only; a stored record of 10^9 repetitions would fill the memory of each leader that reads it.

Change: such a record counts as unreadable, as any other odd one.

Evidence: test_record_that_would_fill_the_memory_is_not_taken_over fails without the change; 205 tests pass.

--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -11,6 +11,9 @@
 
 from ..core.resource import Resources
 
+# The progress of a job is one record of the log, and the leader keeps every task in memory.
+MAX_TASKS_PER_JOB = 50_000
+
 
 @dataclass(slots=True, frozen=True)
 class StepSpec:
@@ -53,6 +56,10 @@
     first_due_s: float = 0.0
     interval_s: float = 0.0
 
+    def count_tasks(self) -> int:
+        """Returns the number of tasks in all occurrences."""
+        return sum(step.count for step in self.steps) * max(1, self.repeats)
+
 
 @dataclass(slots=True, frozen=True)
 class AdviceTimes:
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -16,6 +16,7 @@
 from ..core.resource import Resources
 from .data import (
     FINAL_STATES,
+    MAX_TASKS_PER_JOB,
     AdviceTimes,
     CrashRecord,
     Job,
@@ -231,6 +232,8 @@
     spec = JobSpec(
         _check(raw["payload"], str), steps, _check(repeats, int), *_check_all(times, float)
     )
+    if spec.count_tasks() > MAX_TASKS_PER_JOB:
+        raise ValueError(f"a job must have at most {MAX_TASKS_PER_JOB} tasks")
     team, accepted_s = _check(raw["team"], str), _check(raw["at"], float)
     return Job(job_id, team, _decode_queue(raw["queue"]), spec, accepted_s)
 
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -250,5 +250,9 @@
 
 
 def test_record_that_would_fill_the_memory_is_not_taken_over():
+    steps = (StepSpec(1, Resources(1, 1)),)
+    job = Job("a", "team", QUEUE, JobSpec("text", steps, repeats=10**9), 1.0)
+    with pytest.raises(ValueError):
+        decode_job("a", encode_job(job))
     with pytest.raises(ValueError):
         decode_job("a", zlib.compress(b" " * (MAX_DECOMPRESSED_BYTES + 1)))
--- a/caroblead/platform/jobs.py
+++ b/caroblead/platform/jobs.py
@@ -3,14 +3,12 @@
 import orjson
 
 from ..core.resource import Resources
-from ..jobs.data import JobSpec, JobState, StepSpec
+from ..jobs.data import MAX_TASKS_PER_JOB, JobSpec, JobState, StepSpec
 from .fields import check_object, read_flag, read_list, read_number, read_text, read_whole
 
 MAX_PAYLOAD_BYTES = 4000
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
-# The progress of a job is one record of the log, and the leader keeps every task in memory.
-MAX_TASKS_PER_JOB = 50_000
 STATE_NAMES = {
     JobState.QUEUED: "queued",
     JobState.RUNNING: "in_progress",
@@ -40,7 +38,7 @@
         _read_int(raw, "startAtMs") / 1000,
         _read_int(raw, "intervalMs") / 1000,
     )
-    if sum(step.count for step in spec.steps) * max(1, spec.repeats) > MAX_TASKS_PER_JOB:
+    if spec.count_tasks() > MAX_TASKS_PER_JOB:
         raise ValueError(f"steps: all repetitions must have at most {MAX_TASKS_PER_JOB} tasks")
     return spec
 
--- a/caroblead/platform/jobs_test.py
+++ b/caroblead/platform/jobs_test.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from ..jobs.data import Job, JobQueue, StepSpec
+from ..jobs.data import MAX_TASKS_PER_JOB, Job, JobQueue, StepSpec
 from ..jobs.record import decode_job, encode_job
-from .jobs import MAX_TASKS_PER_JOB, decode_spec
+from .jobs import decode_spec
 
 STEP = {"count": 2, "cpu": 500, "memMb": 256}
 NUMBERS = ("@", "1", True, -1, 1e308, 10**30)
