Take checkpoints of up to 4,096 characters

Cause: the bound of 1,024 was below what callers may send as the payload of a job, and an answer with a longer checkpoint counts as none. The platform names no bound.

Change: 4,096 characters.

--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -33,7 +33,7 @@
 HOLD_TIMEOUT_MARGIN_S = 0.4
 MAX_NAME_LENGTH = 256
 # A checkpoint is stored in the record of its job, of which the log takes a limited size.
-MAX_CHECKPOINT_LENGTH = 1024
+MAX_CHECKPOINT_LENGTH = 4096
 TASK_NAME = re.compile(r"[^.]+(\.[0-9]{1,9}){3}")
 # The meaning of the platform's reason strings in responses with status 409.
 REFUSAL_BY_REASON = {
