--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -386,6 +386,7 @@
     def reset(self):
         self.fence = 0
         self.deadline_ms = 0
+        self.lapsed = False
         self.running = {}
         self.finished = []
         self.highest = {}
@@ -490,9 +491,15 @@
         self.deadline_ms = max(self.deadline_ms, min(int(deadline_ms), longest))
 
     def check_lease(self):
-        if self.up and self.running and self.clock_ms() >= self.deadline_ms:
-            for run in list(self.running.values()):
-                self.end(run, "lapsed")
+        if not self.up or self.clock_ms() < self.deadline_ms:
+            self.lapsed = False
+            return
+        if not self.lapsed and self.deadline_ms:
+            self.lapsed = True
+            self.record.add("lease_lapsed", worker=self.id)
+            self.site.lapses.append((self.record.now(), self.id))
+        for run in list(self.running.values()):
+            self.end(run, "lapsed")
 
     async def on_run_start(self, raw):
         task, number = raw["task"], raw["runId"]
@@ -594,9 +601,9 @@
             if member.timer:
                 member.timer.cancel()
             member.began = time.monotonic()
-            member.timer = loop.call_later(
-                self.jobs.run_s(run.task), worker.end, member, "done"
-            )
+            left_s = member.work_s - member.saved_s
+            left_s += BOUNDS["restoreMs"] / 1000 if member.saved_s else 0.0
+            member.timer = loop.call_later(left_s, worker.end, member, "done")
 
     def leave_gang(self, run):
         place = (run.task.rsplit(".", 1)[0], run.number)
@@ -696,6 +703,7 @@
         self.store = Store(record)
         self.jobs = Jobs(record)
         self.history = []
+        self.lapses = []
         self.workers = []
         self.nodes = []
         self.session = None
