--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -203,6 +203,7 @@
         self.topics = {}
         self.down = False
         self.lose_append = lambda node, keys: None
+        self.answered = []
         self.servers = []
         self.addresses = {}
 
@@ -278,6 +279,7 @@
             await self.hang()
         async with topic.lock:
             await asyncio.sleep(0.002)
+            self.answered.append(self.record.now())
             return answer_json(*topic.append(raws, fence))
 
     async def read(self, query):
