--- a/review/4/case.py
+++ b/review/4/case.py
@@ -29,6 +29,8 @@
     site.record.add("submitted", status=status)
     status, _ = await site.call(site.nodes[0], "DELETE", "/plan/" + job)
     acknowledged = site.record.now()
+    if trouble:
+        site.record.add("writes_answered", count=sum(at > until - 1.6 for at in site.store.answered))
     if status not in (200, 410):
         raise RuntimeError(f"the cancel was answered {status}")
     await asyncio.sleep(LATE_S + RUN_S + 3.0)
