--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -856,7 +856,11 @@
     ``scenario`` gets the site and whether there is a disruption, and returns what broke the rule.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(pathlib.Path(file).parent / "record.txt")
+    try:
+        record = Record(pathlib.Path(file).parent / "record.txt")
+    except OSError as error:
+        print(f"record.txt can't be written: {error}", file=sys.stderr)
+        sys.exit(NOT_RUN)
     record.add("case", trouble=trouble)
 
     async def main(folder):
@@ -878,7 +882,7 @@
                 record.add("broken", what=line)
             record.add("verdict", broken=len(broken))
             print(f"{len(broken)} breaks" + (f"; first: {broken[0]}" if broken else ""))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
             record.add("not_run", error=f"{type(error).__name__}: {error}")
             print(f"the case couldn't run: {type(error).__name__}: {error}", file=sys.stderr)
         if os.environ.get("KEEP_LOGS"):
