--- a/caroblead/bench/dispatch.py
+++ b/caroblead/bench/dispatch.py
@@ -30,7 +30,7 @@
     StepProgress,
     StepSpec,
 )
-from ..jobs.record import encode_progress
+from ..jobs.progressrecord import encode_progress
 
 VMS = 176
 VMS_PER_RACK = 20
--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -15,7 +15,8 @@
 from ..core.timer import call_and_log_errors, wait_for_event
 from ..jobs.data import FINAL_STATES
 from ..jobs.ledger import HEARTBEAT_NAME, RESIGNATION_NAME
-from ..jobs.record import KeyedRecord, RecordKind, encode_progress, make_key
+from ..jobs.progressrecord import encode_progress
+from ..jobs.record import KeyedRecord, RecordKind, make_key
 from .interface import Fence, FencedError, KeyedLog
 from .work import JobWork, snapshot_progress
 
--- a/caroblead/dispatch/commit_test.py
+++ b/caroblead/dispatch/commit_test.py
@@ -8,7 +8,7 @@
 from ..core.loop import run_in_virtual_time
 from ..core.resource import Resources
 from ..jobs.data import Job, JobQueue, JobSpec, JobState, Progress, StepSpec
-from ..jobs.record import read_state
+from ..jobs.progressrecord import read_state
 from ..standin.keyedlog import CallerFaults, MemoryLog, MemoryTopic
 from .commit import CommitQueue
 from .work import open_due_occurrences, open_job
--- a/caroblead/dispatch/completion_test.py
+++ b/caroblead/dispatch/completion_test.py
@@ -2,7 +2,7 @@
 
 from ..core.resource import Resources
 from ..jobs.data import Job, JobQueue, JobSpec, JobState, Progress, StepSpec
-from ..jobs.record import decode_progress, encode_progress
+from ..jobs.progressrecord import decode_progress, encode_progress
 from .completion import settle_end
 from .fleet import Run
 from .interface import EndReason
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -11,7 +11,7 @@
 from ..core.timer import Timer, await_and_log_errors, call_and_log_errors
 from ..jobs.data import FINAL_STATES, Job, JobState, Progress, RunRecord, StepKey
 from ..jobs.ledger import MALFORMED, Change, JobAdded, JobCancelled, StoredJob
-from ..jobs.record import decode_progress
+from ..jobs.progressrecord import decode_progress
 from .commit import CommitQueue
 from .completion import drop_runs, list_broken_gang, settle_end
 from .crash import clear_survivors, list_condemned, note_crash, note_loss
--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -9,7 +9,8 @@
 from ..core.resource import Resources
 from ..jobs.data import Job, JobState, Progress, StepProgress
 from ..jobs.ledger import JobAdded, StoredJob, find_state
-from ..jobs.record import KeyedRecord, RecordKind, encode_job, encode_progress, make_key
+from ..jobs.progressrecord import encode_progress
+from ..jobs.record import KeyedRecord, RecordKind, encode_job, make_key
 from ..node.gauges import write_metrics
 from ..standin.cluster import (
     ADVISED,
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from .data import FINAL_STATES, Job, JobState
+from .progressrecord import read_final_time, read_state
 from .record import (
     KeyedRecord,
     LoadReport,
@@ -17,8 +18,6 @@
     decode_load_report,
     decode_node,
     decode_term,
-    read_final_time,
-    read_state,
 )
 
 # Records of what former leaders learned are kept up to so many and this size.
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -32,6 +32,7 @@
     count_waiting,
     find_state,
 )
+from .progressrecord import decode_progress, encode_progress
 from .record import (
     MAX_DECOMPRESSED_BYTES,
     MAX_REPORTED_QUEUES,
@@ -44,12 +45,10 @@
     decode_job,
     decode_load_report,
     decode_node,
-    decode_progress,
     decode_term,
     encode_job,
     encode_load_report,
     encode_node,
-    encode_progress,
     encode_term,
     make_key,
 )
