Stand-ins: refuse what the platform refuses

The in-memory store and the HTTP platform took records, calls, topics, waits and rates of any size, and listed all ends of a VM at once, so no test, soak or trial could meet a refusal that the protocol names. Simulated tasks save checkpoints, and a start with a checkpoint of another task is a violation. A refusal that is final is an error type of its own.

evacuation_test.py wrote to the operators' topic as a node does; it now writes as the operators do.

--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
+from ..core.outcome import LogError
 from ..core.resource import Resources
 from ..jobs.data import JobQueue
 from ..jobs.record import KeyedRecord
@@ -17,6 +18,16 @@
     """The log rejected an append because it has seen a later term; the message is its answer."""
 
 
+class RecordsRefusedError(LogError):
+    """The log will never store these records, for example because one is too large.
+
+    None of them was stored, and the same append would be refused again.
+    """
+
+    def __init__(self, detail: str):
+        super().__init__(detail, False)
+
+
 class HistoryGoneError(Exception):
     """The records at the offset have expired; only the newest record of each key is retained."""
 
@@ -29,6 +40,17 @@
     sequence: int
 
 
+@dataclass(slots=True, frozen=True)
+class LogLimits:
+    """The sizes in bytes that the log accepts: of one record, and of the records of one append.
+
+    Both count a record as :attr:`caroblead.jobs.record.KeyedRecord.size` does.
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+
 @dataclass(slots=True, frozen=True)
 class Batch:
     """Records read from the log.
@@ -45,13 +67,15 @@
 class KeyedLog(Protocol):
     """A compacted log: it retains the newest record of each key without limit of time."""
 
+    limits: LogLimits
+
     async def append(
         self, records: list[KeyedRecord], fence: Fence | None, timeout_s: float
     ) -> int:
         """Appends all records or none and returns the offset of the first.
 
         Raises ``LogError``, whose ``sent`` tells whether the records may have been stored despite
-        the error, and :class:`FencedError`.
+        the error, :class:`RecordsRefusedError` if they never will be, and :class:`FencedError`.
         """
 
     async def read(self, offset: int, wait_s: float) -> Batch:
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -37,6 +37,10 @@
     LOAD = "l"
 
 
+# In an append, a record is preceded by its length and its key by one byte.
+FRAME_BYTES = 5
+
+
 @dataclass(slots=True, frozen=True)
 class KeyedRecord:
     """A record of the log; an empty value deletes the key (a tombstone)."""
@@ -49,6 +53,11 @@
         """The kind of the record, one of the letters of :class:`RecordKind`."""
         return self.key[:1]
 
+    @property
+    def size(self) -> int:
+        """The bytes that the record takes in an append: its framing, key and value."""
+        return FRAME_BYTES + len(self.key.encode()) + len(self.value)
+
     @property
     def name(self) -> str:
         """The name of the object that the record describes, such as a job id."""
--- a/caroblead/platform/adapter_test.py
+++ b/caroblead/platform/adapter_test.py
@@ -55,6 +55,7 @@
 def test_log_keeps_append_order_and_newest_records_and_rejects_older_terms():
     async def scenario(server, http):
         log = PlatformLog(http, server.address, "keyed.test")
+        server.keys_per_page = 2
         first = [KeyedRecord("a", b"1"), KeyedRecord("b/ä", b"2"), KeyedRecord("a", b"3")]
         assert await log.append(first, None, 1.0) == 0
         batch = await log.read(1, 0.0)
--- a/caroblead/platform/evacuation_test.py
+++ b/caroblead/platform/evacuation_test.py
@@ -10,6 +10,7 @@
 from ..jobs.record import KeyedRecord
 from ..node.evacuation import EvacuationView
 from ..node.setting import check_node_settings
+from ..standin.keyedlog import MemoryTopic
 from .adapter_test import run_with_platform
 from .configuration import TOPIC
 from .evacuation import decode_evacuated_zone
@@ -60,21 +61,21 @@
     async def scenario(server, http):
         log = PlatformLog(http, server.address, TOPIC)
         view = EvacuationView(decode_evacuated_zone)
+        # Nodes may not write to the operators' topic.
+        operators = server.topics[TOPIC] = MemoryTopic()
         first = [KeyedRecord("config", b"{}"), KeyedRecord("evacuate/a", b"{}")]
-        await log.append(first, None, 1.0)
+        operators.append(first, None)
         assert view.make_reading(5.0).read_s is None
         batch = await log.read_newest()
         view.consume(batch, True)
         assert (view.make_reading(5.0).zones, view.make_reading(5.0).read_s) == ({"a"}, 5.0)
         # A value of a later version must not let tasks start in the zone.
         changes = [KeyedRecord("evacuate/b", b"\xff"), KeyedRecord("evacuate/a", b"")]
-        await log.append(changes, None, 1.0)
+        operators.append(changes, None)
         view.consume(await log.read(batch.next_offset, 0.0), False)
         assert view.zones == {"b"}
-        await log.append(
-            [KeyedRecord("evacuate/b", b""), KeyedRecord("evacuate/c", b"{}")], None, 1
-        )
-        server.topics[TOPIC].drop_history()
+        operators.append([KeyedRecord("evacuate/b", b""), KeyedRecord("evacuate/c", b"{}")], None)
+        operators.drop_history()
         view.consume(await log.read_newest(), True)
         assert view.zones == {"c"}
 
--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -6,7 +6,14 @@
 
 from ..core.logsink import log
 from ..core.outcome import LogError
-from ..dispatch.interface import Batch, Fence, FencedError, HistoryGoneError
+from ..dispatch.interface import (
+    Batch,
+    Fence,
+    FencedError,
+    HistoryGoneError,
+    LogLimits,
+    RecordsRefusedError,
+)
 from ..jobs.record import KeyedRecord
 from .fields import check_object, check_text, read_list, read_text, read_whole
 from .http import MAX_BODY_BYTES, CallFailedError, HttpClient, Reply
@@ -26,7 +33,9 @@
 # Other traffic of the node takes its part of the link.
 TRANSFER_FACTOR = 2.0
 # The store has appended nothing when it responds with one of these statuses.
-REFUSED_STATUSES = frozenset({429, 503, 507})
+REFUSED_STATUSES = frozenset({403, 404, 429, 503, 507})
+# The same, and it will respond so to the same records whenever they are sent.
+FINAL_STATUSES = frozenset({400, 413})
 
 
 def compute_transfer_s(size_bytes: int, link_mbps: float) -> float:
@@ -35,10 +44,21 @@
 
 
 class PlatformLog:
-    """Partition 0 of a topic in the platform's log store, read over a link of ``link_mbps``."""
+    """Partition 0 of a topic in the platform's log store, read over a link of ``link_mbps``.
 
-    def __init__(self, http: HttpClient, address: str, topic: str, link_mbps: float = 1000.0):
+    ``limits`` are the sizes that the store accepts.
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        address: str,
+        topic: str,
+        link_mbps: float = 1000.0,
+        limits: LogLimits = LogLimits(),
+    ):
         self.http = http
+        self.limits = limits
         self.read_margin_s = READ_TIMEOUT_MARGIN_S + compute_transfer_s(MAX_RECORD_BYTES, link_mbps)
         self.page_timeout_s = READ_NEWEST_TIMEOUT_S + compute_transfer_s(MAX_PAGE_BYTES, link_mbps)
         self.base_url = f"http://{address}/api"
@@ -60,6 +80,8 @@
             return self._decode_offset(reply)
         if reply.status in (409, 412):
             raise FencedError(reply.body.decode(errors="replace"))
+        if reply.status in FINAL_STATUSES:
+            raise RecordsRefusedError(f"log-append returned status {reply.status}")
         raise LogError(
             f"log-append returned status {reply.status}", reply.status not in REFUSED_STATUSES
         )
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -8,7 +8,7 @@
 from ..core.clock import use_clocks, use_system_clocks
 from ..core.loop import run_in_virtual_time
 from ..core.resource import Resources
-from ..dispatch.interface import Advice, Configuration, ListedVm, TeamLimits
+from ..dispatch.interface import Advice, Configuration, ListedVm, LogLimits, TeamLimits
 from ..jobs.data import AdviceTimes, JobQueue, JobSpec
 from ..jobs.record import KeyedRecord
 from ..node.answer import Accepted, Admission, Cancelled, Rejected
@@ -180,15 +180,18 @@
     cap: Resources | None = None,
     zones: tuple[str, ...] = ("a",),
     evacuation_ms: float = 0,
+    limits: LogLimits = LogLimits(),
     **settings,
 ) -> Site:
     """Starts nodes, VMs and a store and waits until a leader is elected.
 
-    The zones are given to the VMs in turn, and ``settings`` to all nodes.
+    The zones are given to the VMs in turn, and ``settings`` to all nodes. ``limits`` are those of
+    the ledger.
     """
     caller_records = CallerRecords()
     site = Site(
         VmSimulator(make_behavior_lookup(caller_records.jobs)),
+        ledger=MemoryTopic(limits=limits),
         caller_records=caller_records,
         cap=cap or Resources(),
         zones=zones,
--- a/caroblead/standin/keyedlog.py
+++ b/caroblead/standin/keyedlog.py
@@ -10,8 +10,16 @@
 
 from ..core.outcome import LogError
 from ..core.timer import wait_for_event
-from ..dispatch.interface import Batch, Fence, FencedError, HistoryGoneError
+from ..dispatch.interface import (
+    Batch,
+    Fence,
+    FencedError,
+    HistoryGoneError,
+    LogLimits,
+    RecordsRefusedError,
+)
 from ..jobs.record import KeyedRecord
+from .limits import MAX_STORED_BYTES
 
 RESPONSE_DELAY_S = 0.004
 # The store deduplicates: a retry of one of this many latest appends gets the original offset.
@@ -51,9 +59,12 @@
     """The records of a topic, and the term and sequence number that fence appends to it.
 
     ``newest`` maps each key to the offset and value of its newest record, and ``appended`` is set
-    and replaced by every append.
+    and replaced by every append. Records beyond the ``limits`` are refused, and ``stored_bytes`` is
+    the size of the newest records.
     """
 
+    limits: LogLimits = LogLimits()
+    stored_bytes: int = 0
     records: list[KeyedRecord] = field(default_factory=list)
     first_offset: int = 0
     newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
@@ -70,8 +81,10 @@
     def append(self, records: list[KeyedRecord], fence: Fence | None) -> int:
         """Appends records and returns the offset of the first, or raises :class:`FencedError`.
 
-        Within a term appends must come in sequence; a retry of a recent one changes nothing.
+        Within a term appends must come in sequence; a retry of a recent one changes nothing. Raises
+        :class:`RecordsRefusedError` for records beyond the limits.
         """
+        self.check_sizes(records)
         if fence is not None:
             if fence.term < self.epoch:
                 raise FencedError("fenced")
@@ -87,14 +100,26 @@
             self.cached_offsets.pop(fence.sequence - MAX_CACHED_OFFSETS, None)
         offset = self.end_offset
         for record in records:
-            self.newest.pop(record.key, None)
+            _, before = self.newest.pop(record.key, (0, b""))
             if record.value:
                 self.newest[record.key] = (self.end_offset, record.value)
+            self.stored_bytes += len(record.value) - len(before)
             self.records.append(record)
         self.appended.set()
         self.appended = asyncio.Event()
         return offset
 
+    def check_sizes(self, records: list[KeyedRecord]):
+        """Raises ``LogError`` if the store takes no records of these sizes."""
+        sizes = [record.size for record in records]
+        if sizes and max(sizes) > self.limits.record_bytes:
+            largest = max(records, key=lambda record: record.size)
+            raise RecordsRefusedError(f"{largest.key} has {largest.size} bytes")
+        if sum(sizes) > self.limits.call_bytes:
+            raise RecordsRefusedError(f"the records have {sum(sizes)} bytes")
+        if self.stored_bytes + sum(sizes) > MAX_STORED_BYTES:
+            raise LogError("the store is full", False)
+
     def drop_history(self):
         """Drops all records from the history but keeps the newest record of each key."""
         self.first_offset, self.records = self.end_offset, []
@@ -106,11 +131,13 @@
     def __init__(self, topic: MemoryTopic, caller_faults: CallerFaults):
         self.topic = topic
         self.caller_faults = caller_faults
+        self.limits = topic.limits
 
     async def append(self, records, fence, timeout_s: float) -> int:
         """Appends records; see :class:`caroblead.dispatch.interface.KeyedLog`."""
         await asyncio.sleep(self.caller_faults.append_delay_s)
         await self._check_link(timeout_s)
+        self.topic.check_sizes(records)
         if self.caller_faults.late_s:
             loop = asyncio.get_running_loop()
             loop.call_later(self.caller_faults.late_s, self._append_late, records, fence)
@@ -127,7 +154,7 @@
     def _append_late(self, records, fence):
         try:
             self.topic.append(records, fence)
-        except FencedError:
+        except (FencedError, LogError):
             pass
 
     async def read(self, offset: int, wait_s: float) -> Batch:
--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -9,11 +9,14 @@
 import orjson
 from aiohttp import web
 
+from ..core.clock import get_elapsed_s
+from ..core.outcome import LogError
 from ..core.timer import wait_for_event
 from ..dispatch.interface import (
     Fence,
     FencedError,
     HoldAnswer,
+    RecordsRefusedError,
     Started,
     StartOrder,
     StartRefusal,
@@ -21,8 +24,22 @@
 )
 from ..jobs.record import KeyedRecord
 from .keyedlog import MemoryTopic
+from .limits import (
+    MAX_HOLD_WAIT_MS,
+    MAX_KEYS_PER_PAGE,
+    MAX_PAGE_BYTES,
+    MAX_PAYLOAD_BYTES,
+    MAX_READ_WAIT_MS,
+    MAX_TOPICS,
+    MAX_VMS_PER_QUESTION,
+    READS_PER_S,
+    WRITES_PER_S,
+    CallRate,
+)
 from .vmsimulator import SimulatedVm, VmSimulator
 
+# Only the operators and the VMs write to these topics.
+OPERATORS_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 REFUSAL_REASONS = {
     StartRefusal.FENCED: "fence",
     StartRefusal.SUPERSEDED: "old",
@@ -35,7 +52,8 @@
 
     All VMs share its address; the header ``Expect-Instance`` names the VM that a call is meant for.
     ``advice`` maps the VMs that the advice service allows to their tickets. A ``status`` other than
-    200 is the response to every call, which then has no effect.
+    200 is the response to every call, which then has no effect. A page of newest records has
+    ``keys_per_page`` at most.
     """
 
     def __init__(self, vm_simulator: VmSimulator | None = None):
@@ -43,6 +61,8 @@
         self.vm_simulator = vm_simulator
         self.advice: dict[str, str] = {}
         self.status = 200
+        self.keys_per_page = MAX_KEYS_PER_PAGE
+        self.rate = CallRate({"log_append": WRITES_PER_S, "log_read": READS_PER_S})
         self.runner = web.ServerRunner(web.Server(self._serve))
         self.address = ""
 
@@ -63,12 +83,21 @@
             return web.Response(status=self.status)
         call = request.path.rsplit("/", 1)[1].replace("-", "_")
         body = await request.read()
-        return await getattr(self, f"_answer_{call}")(request, body)
+        if not self.rate.admit(call, get_elapsed_s()):
+            return web.Response(status=429)
+        try:
+            return await getattr(self, f"_answer_{call}")(request, body)
+        except _InvalidCallError as error:
+            return _encode_response(400, {"error": str(error)})
 
     def _get_topic(self, request: web.BaseRequest) -> MemoryTopic:
+        if request.query["topic"] not in self.topics:
+            _check(len(self.topics) < MAX_TOPICS, "too many topics")
         return self.topics.setdefault(request.query["topic"], MemoryTopic())
 
     async def _answer_log_append(self, request, body: bytes) -> web.Response:
+        if request.query["topic"] in OPERATORS_TOPICS:
+            return web.Response(status=403)
         topic, fence = self._get_topic(request), None
         if "epoch" in request.query:
             fence = Fence(int(request.query["epoch"]), int(request.query["sequence"]))
@@ -82,14 +111,20 @@
             offset = topic.append(records, fence)
         except FencedError as error:
             return _encode_response(409, {"reason": str(error)})
+        except RecordsRefusedError as error:
+            return _encode_response(400, {"error": str(error)})
+        except LogError as error:
+            return _encode_response(507, {"error": str(error)})
         return _encode_response(200, {"offset": offset, "endOffset": topic.end_offset})
 
     async def _answer_log_read(self, request, body: bytes) -> web.Response:
         topic, start = self._get_topic(request), int(request.query["fromRevision"])
         if start < topic.first_offset:
             return _encode_response(410, {"firstOffset": topic.first_offset})
-        if start >= topic.end_offset and "waitMs" in request.query:
-            await wait_for_event(topic.appended, int(request.query["waitMs"]) / 1000)
+        wait_ms = int(request.query.get("waitMs", 0))
+        _check(wait_ms <= MAX_READ_WAIT_MS, "waitMs")
+        if start >= topic.end_offset and wait_ms:
+            await wait_for_event(topic.appended, wait_ms / 1000)
         answer = struct.pack(">QQ", topic.end_offset, topic.first_offset)
         max_bytes = int(request.query.get("maxSizeKb", 1024)) * 1024
         for record in topic.records[start - topic.first_offset :]:
@@ -103,15 +138,14 @@
     async def _answer_log_newest(self, request, body: bytes) -> web.Response:
         topic, after = self._get_topic(request), request.query.get("after", "")
         keys = sorted(key for key in topic.newest if key > after)
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(topic.newest[key][1]).decode(),
-                "offset": topic.newest[key][0],
-            }
-            for key in keys[:2]
-        ]
-        has_more = len(keys) > 2
+        items, size = [], 0
+        for key in keys[: self.keys_per_page]:
+            offset, value = topic.newest[key]
+            size += len(value)
+            if items and size > MAX_PAGE_BYTES:
+                break
+            items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
+        has_more = len(keys) > len(items)
         return _encode_response(
             200, {"items": items, "hasMore": has_more, "endOffset": topic.end_offset}
         )
@@ -121,6 +155,7 @@
 
     async def _answer_run_start(self, request, body: bytes) -> web.Response:
         raw = orjson.loads(body)
+        _check(len(raw["spec"].encode()) <= MAX_PAYLOAD_BYTES, "spec")
         vm = self._get_vm(request)
         order = StartOrder(
             parse_task_name(raw["task"]),
@@ -152,6 +187,7 @@
 
     async def _answer_hold(self, request, body: bytes) -> web.Response:
         raw = orjson.loads(body)
+        _check(0 <= raw.get("waitMs", 0) <= MAX_HOLD_WAIT_MS, "waitMs")
         answer = await self.vm_simulator.hold(
             self._get_vm(request),
             raw["fencingToken"],
@@ -164,7 +200,9 @@
         running = [
             [str(r.task), r.number, r.checkpoint, r.percent, r.response_ms] for r in answer.running
         ]
-        ended = [[e.serial, str(e.task), e.number, str(e.reason), ""] for e in answer.ended]
+        ended = [
+            [e.serial, str(e.task), e.number, str(e.reason), e.checkpoint] for e in answer.ended
+        ]
         return _encode_response(
             200,
             {
@@ -177,10 +215,20 @@
 
     async def _answer_advise(self, request, body: bytes) -> web.Response:
         workers = orjson.loads(body)["workers"]
+        _check(len(workers) <= MAX_VMS_PER_QUESTION, "workers")
         allowed = [[name, self.advice[name]] for name in workers if name in self.advice]
         return _encode_response(200, {"allowed": allowed, "validityMs": 1500})
 
 
+class _InvalidCallError(Exception):
+    """A call exceeds a limit of the protocol; the message names its field."""
+
+
+def _check(condition: bool, field: str):
+    if not condition:
+        raise _InvalidCallError(field)
+
+
 def _encode_response(status: int, message: dict) -> web.Response:
     body = orjson.dumps(message)
     return web.Response(status=status, body=body, content_type="application/json")
--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..core.resource import Resources
+from ..dispatch.interface import LogLimits
 from ..jobs.data import JobSpec, StepSpec
 from ..jobs.ledger import find_state
 from .cluster import (
@@ -211,7 +212,7 @@
 )
 
 
-def generate_job(rng: random.Random) -> JobSpec:
+def generate_job(rng: random.Random, checkpoint_length: int) -> JobSpec:
     """Returns a random job of one or two steps.
 
     The first step may be a gang, save checkpoints, or run at most one task per VM.
@@ -229,17 +230,20 @@
         rng.choice((1, 1, FAILS_EVERY_RUN)) if rng.random() < FAILING_FRACTION else 0
     )
     return make_spec(
-        *steps, seconds=estimate_s * rng.uniform(0.7, 1.5), failing_runs=failing_run_count
+        *steps,
+        seconds=estimate_s * rng.uniform(0.7, 1.5),
+        failing_runs=failing_run_count,
+        checkpoint_length=checkpoint_length,
     )
 
 
-async def _submit_jobs(site: Site, rng: random.Random):
+async def _submit_jobs(site: Site, rng: random.Random, checkpoint_length: int):
     """Submits jobs at random intervals over the traffic time and cancels some."""
     tasks = []
     for _ in range(JOBS):
         await asyncio.sleep(rng.uniform(0.2, 1.8) * TRAFFIC_S / JOBS)
         if site.nodes:
-            spec, queue = generate_job(rng), rng.choice(sorted(QUEUES))
+            spec, queue = generate_job(rng, checkpoint_length), rng.choice(sorted(QUEUES))
             node = rng.choice(sorted(site.nodes))
             tasks.append(asyncio.create_task(submit(site, node, spec, queue)))
             if rng.random() < CANCELLED_FRACTION:
@@ -307,12 +311,19 @@
             await submit(site, node, generate_crashing_job(rng), queue)
 
 
-def run_trial(seed: int, crashing_jobs: int = 0, evacuations: int = 0) -> TrialResult:
+def run_trial(
+    seed: int,
+    crashing_jobs: int = 0,
+    evacuations: int = 0,
+    checkpoint_length: int = 0,
+    limits: LogLimits = LogLimits(),
+) -> TrialResult:
     """Runs the trial of a seed in virtual time and returns its result.
 
     Up to ``crashing_jobs`` jobs are added whose tasks crash their VMs. They have draws of their
     own, so that they don't change the other jobs and the faults. The same holds for the
-    ``evacuations`` of zones.
+    ``evacuations`` of zones. ``checkpoint_length`` is that of the tasks that save checkpoints, and
+    ``limits`` are those of the ledger.
     """
     rng = random.Random(seed)
     result = TrialResult(seed)
@@ -320,7 +331,7 @@
 
     async def scenario() -> Site:
         evacuation_ms = EVACUATION_MS if evacuations else 0
-        site = await start_site(VM_COUNT, NODE_COUNT, cap, ZONES, evacuation_ms)
+        site = await start_site(VM_COUNT, NODE_COUNT, cap, ZONES, evacuation_ms, limits)
         chosen = [rng.choice(FAULTS) for _ in range(rng.choice(FAULT_COUNTS))]
         tasks = [
             asyncio.create_task(
@@ -340,7 +351,7 @@
             crash_rng = random.Random(f"crashing jobs of {seed}")
             submission = _submit_crashing_jobs(site, crash_rng, crashing_jobs)
             tasks.append(asyncio.create_task(submission))
-        await _submit_jobs(site, rng)
+        await _submit_jobs(site, rng, checkpoint_length)
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S + crashing_jobs * SETTLE_PER_CRASHING_JOB_S)
         result.problems += check_site(site) + check_evacuations(site)
--- a/caroblead/standin/verdict.py
+++ b/caroblead/standin/verdict.py
@@ -110,6 +110,8 @@
             continue
         if event.kind == "crashed":
             state.crashes[event.task] += 1
+        elif event.kind == "foreign checkpoint":
+            problems.append(f"{event.at_s:.3f} {event.task}: started with a checkpoint not its own")
         elif event.kind == "start":
             problems += _check_start(event, caller_records, state)
             problems += _check_crashes(event, state)
--- a/caroblead/standin/vmsimulator.py
+++ b/caroblead/standin/vmsimulator.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+import base64
 import itertools
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -25,9 +27,12 @@
     StartRefusal,
     TaskName,
 )
+from .limits import MAX_ENDS_PER_ANSWER, MAX_LEASE_MS
 
 STOP_DELAY_S = 0.1
-MAX_LEASE_MS = 10_000
+
+
+CHECKPOINT_DIGITS = 8
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,6 +44,9 @@
 
     A crashing task takes its VM down ``crashes_after_s`` after its start, for ``down_s`` seconds;
     with 0 the VM crashes on the start order, which gets no answer.
+
+    With a ``checkpoint_length`` above 0 the task saves checkpoints of so many characters, which
+    serve every task of the same ``checkpoint_owner``.
     """
 
     seconds: float
@@ -49,6 +57,8 @@
     fills: bool = False
     crashes_after_s: float | None = None
     down_s: float = 1.0
+    checkpoint_length: int = 0
+    checkpoint_owner: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,7 +67,8 @@
 
     ``kind`` is ``start``, the reason of the end, or ``noted`` with that reason. ``noted`` means
     that the leader acknowledged the end before the VM's lease expired. It is ``crashed`` for each
-    run of a crashing task that was active on a VM when that VM crashed, for whatever cause. A run
+    run of a crashing task that was active on a VM when that VM crashed, for whatever cause, and
+    ``foreign checkpoint`` when a task was started with a checkpoint of another one. A run
     that ``fills`` uses no cores of the capacity of its VM. A start whose order was executed late
     came ``late_s`` after the order.
     """
@@ -81,11 +92,27 @@
     capacity: Resources
 
 
+def read_worked_s(checkpoint: str) -> float:
+    """Returns how much of its work a task had done at a checkpoint, in seconds."""
+    return int(checkpoint[:CHECKPOINT_DIGITS] or 0) / 1000
+
+
+def _make_checkpoint(behavior: TaskBehavior, worked_s: float) -> str:
+    """Returns a checkpoint, whose beginning tells the work that was done, in milliseconds."""
+    if not behavior.checkpoint_length or not worked_s:
+        return ""
+    begin = f"{round(worked_s * 1000):0{CHECKPOINT_DIGITS}d}"
+    noise = random.Random(f"{behavior.checkpoint_owner}/{begin}")
+    text = begin + base64.b64encode(noise.randbytes(behavior.checkpoint_length)).decode()
+    return text[: behavior.checkpoint_length]
+
+
 @dataclass(slots=True, eq=False)
 class ActiveRun:
     """A run in progress; ``percent`` is its pace in percent of its full pace.
 
-    It had done ``worked_s`` of its work when the speed of its VM last changed, at ``since_s``.
+    It had done ``worked_s`` of its work when the speed of its VM last changed, at ``since_s``, and
+    ``restored_s`` of it when it began.
     """
 
     number: int
@@ -96,6 +123,7 @@
     percent: int = 100
     worked_s: float = 0.0
     since_s: float = 0.0
+    restored_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -214,13 +242,16 @@
 
     def _begin_run(self, vm: SimulatedVm, order: StartOrder, late_s: float):
         behavior = self.get_task_behavior(order.task, order.number)
-        now_s = self.loop.time()
+        now_s, restored_s = self.loop.time(), read_worked_s(order.checkpoint)
         if behavior.crashes_after_s is None:
-            timer = self._schedule_end(vm, order.task, behavior, behavior.seconds)
+            left_s = max(0.0, behavior.seconds - restored_s)
+            timer = self._schedule_end(vm, order.task, behavior, left_s)
         else:
             timer = self.loop.call_later(behavior.crashes_after_s, self._crash_under, vm, behavior)
-        run = ActiveRun(order.number, behavior, now_s, timer, since_s=now_s)
+        run = ActiveRun(order.number, behavior, now_s, timer, 100, restored_s, now_s, restored_s)
         vm.active_runs[order.task] = run
+        if order.checkpoint not in ("", _make_checkpoint(behavior, restored_s)):
+            self._record_event("foreign checkpoint", order.task, order.number, vm, behavior)
         self._record_event("start", order.task, order.number, vm, behavior, late_s)
         if behavior.crashes_after_s == 0:
             self._crash_under(vm, behavior)
@@ -306,13 +337,19 @@
             RunningTask(
                 task,
                 run.number,
-                "",
+                self._save(vm, run),
                 self._compute_percent(vm, run),
                 self.measure_response(vm, run),
             )
             for task, run in vm.active_runs.items()
         ]
-        return HoldAnswer(self.get_clock_ms(vm), vm.incarnation, running, list(vm.ended))
+        return HoldAnswer(
+            self.get_clock_ms(vm), vm.incarnation, running, vm.ended[:MAX_ENDS_PER_ANSWER]
+        )
+
+    def _save(self, vm: SimulatedVm, run: ActiveRun) -> str:
+        """Returns the newest checkpoint of a run, an empty string if there is none."""
+        return _make_checkpoint(run.behavior, self._measure_work(vm, run))
 
     def _compute_percent(self, vm: SimulatedVm, run: ActiveRun) -> float:
         return int(100 * self._measure_work(vm, run) / run.behavior.seconds)
@@ -333,12 +370,13 @@
         if run is None:
             return
         run.timer.cancel()
+        saved = "" if reason is EndReason.DONE else self._save(vm, run)
         vm.highest_ended_run[task] = max(vm.highest_ended_run.get(task, 0), run.number)
         self._record_event(str(reason), task, run.number, vm, run.behavior)
         if reported:
             serial = next(vm.serials)
             vm.ended_s[serial] = self.loop.time()
-            vm.ended.append(EndedTask(serial, task, run.number, reason, ""))
+            vm.ended.append(EndedTask(serial, task, run.number, reason, saved))
             vm.changed.set()
             vm.changed = asyncio.Event()
 
--- a/caroblead/standin/work.py
+++ b/caroblead/standin/work.py
@@ -23,7 +23,8 @@
     For example, ``seconds`` is the duration of each run and ``failing_runs`` the number of runs of
     each task that fail before one succeeds. With ``crashes_after_s`` each run of a task takes its
     VM down so long after its start, for ``down_s`` seconds; with ``crashing_indexes`` only the
-    tasks with these indexes do.
+    tasks with these indexes do. With ``checkpoint_length`` the tasks of a step that saves
+    checkpoints save ones of so many characters.
     """
     return JobSpec(orjson.dumps(fields).decode(), steps)
 
@@ -50,6 +51,8 @@
             spec.steps[task.step].fills,
             fields.get("crashes_after_s") if is_crashing(spec, task) else None,
             fields.get("down_s", 1.0),
+            fields.get("checkpoint_length", 0) if step.checkpoints else 0,
+            f"{task.job}.{task.occurrence}.{task.step}" if step.gang else str(task),
         )
 
     return get_task_behavior
