--- a/caroblead/standin/vmsimulator.py
+++ b/caroblead/standin/vmsimulator.py
@@ -111,8 +111,7 @@
 class ActiveRun:
     """A run in progress; ``percent`` is its pace in percent of its full pace.
 
-    It had done ``worked_s`` of its work when the speed of its VM last changed, at ``since_s``, and
-    ``restored_s`` of it when it began.
+    It had done ``worked_s`` of its work when the speed of its VM last changed, at ``since_s``.
     """
 
     number: int
@@ -123,7 +122,6 @@
     percent: int = 100
     worked_s: float = 0.0
     since_s: float = 0.0
-    restored_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -248,7 +246,7 @@
             timer = self._schedule_end(vm, order.task, behavior, left_s)
         else:
             timer = self.loop.call_later(behavior.crashes_after_s, self._crash_under, vm, behavior)
-        run = ActiveRun(order.number, behavior, now_s, timer, 100, restored_s, now_s, restored_s)
+        run = ActiveRun(order.number, behavior, now_s, timer, worked_s=restored_s, since_s=now_s)
         vm.active_runs[order.task] = run
         if order.checkpoint not in ("", _make_checkpoint(behavior, restored_s)):
             self._record_event("foreign checkpoint", order.task, order.number, vm, behavior)
