Divide the progress of a job into records that the log accepts

Cause: the progress of a job was one record of any size, and an append held records of any sum. The store refused 273,807 bytes with 400 (it takes 262,144); CommitQueue took that for a passing failure and repeated the append for ever, the heartbeat and all other decisions behind it.

Fix: progress in parts of 64 KB at most, whose order of appends keeps each task's state whole; appends cut by recordBytes, requestBytes and the link; a final refusal is an error of its own, refused appends are split, and a record that is refused alone holds up nobody else. leader:record_refused and records_refused_total name what was refused.

--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -4,10 +4,15 @@
 answer is retried with the same sequence number, so that the log can detect the duplicate; an append
 that is fenced ends the term. The time at which the last acknowledged append was sent is the last
 time at which the leader's term is known to have been current.
+
+No record and no append is larger than the log accepts. Should the log refuse records all the same,
+they are appended apart, so that no other record waits for the one that it refuses.
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log
@@ -15,9 +20,9 @@
 from ..core.timer import call_and_log_errors, wait_for_event
 from ..jobs.data import FINAL_STATES
 from ..jobs.ledger import HEARTBEAT_NAME, RESIGNATION_NAME
-from ..jobs.progressrecord import encode_progress
+from ..jobs.progressparts import encode_parts
 from ..jobs.record import KeyedRecord, RecordKind, make_key
-from .interface import Fence, FencedError, KeyedLog
+from .interface import Fence, FencedError, KeyedLog, RecordsRefusedError
 from .work import JobWork, snapshot_progress
 
 HEARTBEAT_INTERVAL_S = 0.25
@@ -26,10 +31,25 @@
 APPEND_TIMEOUT_S = 1.5
 RETRY_S = 0.05
 MAX_JOBS_PER_APPEND = 300
+# Progress isn't divided into smaller records than this when the log refuses it.
+MIN_RECORD_BYTES = 1024
+
+
+@dataclass(slots=True, frozen=True)
+class QueuedRecord:
+    """A record to append; ``work`` is the job whose progress it is part of, if any."""
+
+    record: KeyedRecord
+    work: JobWork | None = None
 
 
 class CommitQueue:
-    """The leader's queue of records to append to the log."""
+    """The leader's queue of records to append to the log.
+
+    ``backlog`` holds encoded records that did not fit into an append yet, and ``record_bytes`` is
+    the size that no record of progress exceeds. ``redo`` tells that the log refused progress of the
+    last append, which is to be recorded again.
+    """
 
     def __init__(
         self, keyed_log: KeyedLog, term: int, term_confirmed_s: float, lose_term: Callable
@@ -41,6 +61,10 @@
         self.lose_term = lose_term
         self.dirty_jobs: dict[str, JobWork] = {}
         self.extra_records: list[KeyedRecord] = []
+        self.backlog: deque[QueuedRecord] = deque()
+        self.record_bytes = keyed_log.limits.record_bytes
+        self.refused = 0
+        self.redo = False
         self.callbacks: list[Callable] = []
         self.wake = asyncio.Event()
         # The first append shows the other nodes at once that the new leader is at work.
@@ -60,14 +84,16 @@
         self.wake.set()
 
     def add(self, record: KeyedRecord):
-        """Adds a record to the next append."""
+        """Adds a record to the next append; one that the log won't accept is left out."""
+        if record.size > self.log.limits.record_bytes:
+            self._note_refused(record, "the record is too large")
+            return
         self.extra_records.append(record)
         self.wake.set()
 
     async def wait_flushed(self):
         """Waits until everything marked so far is stored in the log."""
-        idle = self.append_started_s is None
-        if idle and not self.dirty_jobs and not self.callbacks and not self.extra_records:
+        if self.append_started_s is None and not self.callbacks and self._is_empty():
             return
         done = asyncio.get_running_loop().create_future()
         self.callbacks.append(lambda: done.done() or done.set_result(None))
@@ -86,35 +112,79 @@
             if await wait_for_event(self.wake, HEARTBEAT_INTERVAL_S):
                 await asyncio.sleep(BATCH_DELAY_S)
             self.wake.clear()
-            records, callbacks = self._take_batch()
+            batch = self._take_batch()
+            callbacks = self._take_callbacks()
             self.append_started_s = get_elapsed_s()
-            if not await self._append(records):
+            if not await self._append(batch):
                 return
             self.append_started_s = None
+            if self.redo:
+                self.redo = False
+                self.callbacks[:0] = callbacks
+                continue
             for callback in callbacks:
                 call_and_log_errors(callback)
 
-    def _take_batch(self) -> tuple[list[KeyedRecord], list[Callable]]:
-        now_s = get_wall_s()
-        names = list(self.dirty_jobs)[:MAX_JOBS_PER_APPEND]
-        records = []
-        for name in names:
-            records += _make_progress_records(self.dirty_jobs.pop(name), now_s)
-        records += self.extra_records
-        self.extra_records = []
-        if not records:
-            records.append(
-                KeyedRecord(make_key(RecordKind.HEARTBEAT, HEARTBEAT_NAME), b"%d" % self.term)
-            )
-        if self.dirty_jobs:
+    def _is_empty(self) -> bool:
+        return not (self.backlog or self.dirty_jobs or self.extra_records)
+
+    def _take_batch(self) -> list[QueuedRecord]:
+        """Returns the records of the next append: as many as it may hold, or a heartbeat."""
+        now_s, job_count = get_wall_s(), 0
+        batch, size = [], 0
+        while not self._is_empty():
+            if not self.backlog:
+                if job_count >= MAX_JOBS_PER_APPEND and self.dirty_jobs:
+                    break
+                job_count += 1
+                self._encode_next(now_s)
+                continue
+            size += self.backlog[0].record.size
+            if batch and size > self.log.limits.call_bytes:
+                break
+            batch.append(self.backlog.popleft())
+        return batch or [QueuedRecord(self._make_heartbeat())]
+
+    def _take_callbacks(self) -> list[Callable]:
+        """Returns the callbacks if everything marked so far is in the batch that was taken."""
+        if not self._is_empty():
             self.wake.set()
-            return records, []
+            return []
         callbacks, self.callbacks = self.callbacks, []
-        return records, callbacks
+        return callbacks
+
+    def _encode_next(self, now_s: float):
+        """Encodes the job that has waited longest, or after all jobs the other records."""
+        if not self.dirty_jobs:
+            self.backlog.extend(map(QueuedRecord, self.extra_records))
+            self.extra_records = []
+            return
+        work = self.dirty_jobs.pop(next(iter(self.dirty_jobs)))
+        if not work.is_recordable:
+            return
+        try:
+            records = _make_progress_records(work, self.record_bytes, now_s)
+        except Exception as error:
+            # Nothing that is wrong with one job may end the records of the others.
+            self._set_aside(work, f"{type(error).__name__}: {error}")
+            return
+        self.backlog.extend(QueuedRecord(record, work) for record in records)
+
+    def _set_aside(self, work: JobWork, detail: str):
+        """Ends the records of a job, none of whose tasks starts from now on."""
+        work.is_recordable = False
+        log("job:not_recordable", job=work.job.id, detail=detail)
 
-    async def _append(self, records: list[KeyedRecord]) -> bool:
-        self.sequence += 1
-        fence = Fence(self.term, self.sequence)
+    def _make_heartbeat(self) -> KeyedRecord:
+        return KeyedRecord(make_key(RecordKind.HEARTBEAT, HEARTBEAT_NAME), b"%d" % self.term)
+
+    async def _append(self, batch: list[QueuedRecord], unanswered: bool = False) -> bool:
+        """Appends records; returns false if the term has ended.
+
+        ``unanswered`` tells that an append with the next sequence number got no answer.
+        """
+        fence = Fence(self.term, self.sequence + 1)
+        records = [item.record for item in batch]
         failed_s = 0.0
         while True:
             sent_s = get_elapsed_s()
@@ -123,23 +193,67 @@
             except FencedError as error:
                 self.lose_term(f"append was fenced: {error}")
                 return False
+            except RecordsRefusedError as error:
+                return await self._append_apart(batch, unanswered, error)
             except LogError as error:
+                unanswered = unanswered or error.sent
                 if not failed_s:
                     failed_s = sent_s
                     log("leader:log_lost", term=self.term, error=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
+            self.sequence += 1
             self.term_confirmed_s = sent_s
             self.appends += 1
             if failed_s:
                 log("leader:log_back", term=self.term, after_s=get_elapsed_s() - failed_s)
             return True
 
+    async def _append_apart(
+        self, batch: list[QueuedRecord], unanswered: bool, error: RecordsRefusedError
+    ) -> bool:
+        """Appends the two halves of a refused batch; a record that is refused alone is left out.
+
+        Returns false if the term has ended.
+        """
+        middle = len(batch) // 2
+        if middle:
+            before = self.sequence
+            if not await self._append(batch[:middle], unanswered):
+                return False
+            unanswered = unanswered and self.sequence == before
+            return await self._append(batch[middle:], unanswered)
+        if unanswered:
+            # Another append with this sequence number could be taken for a repetition of this one.
+            self.lose_term(f"an append that got no answer was refused: {error}")
+            return False
+        self._leave_out(batch[0], str(error))
+        return True
+
+    def _leave_out(self, item: QueuedRecord, detail: str):
+        """Leaves out a refused record; the progress of a job is recorded again in smaller ones."""
+        self._note_refused(item.record, detail)
+        work = item.work
+        if work is None:
+            return
+        smaller = item.record.size // 2
+        if smaller < MIN_RECORD_BYTES:
+            self._set_aside(work, detail)
+            return
+        self.record_bytes = min(self.record_bytes, smaller)
+        self.redo = True
+        for part in work.parts:
+            part.written = None
+        self.mark_dirty(work)
+
+    def _note_refused(self, record: KeyedRecord, detail: str):
+        self.refused += 1
+        log("leader:record_refused", key=record.key, size=record.size, error=detail)
+
 
-def _make_progress_records(work: JobWork, now_s: float) -> list[KeyedRecord]:
+def _make_progress_records(work: JobWork, max_bytes: int, now_s: float) -> list[KeyedRecord]:
     job_id = work.job.id
-    value = encode_progress(snapshot_progress(work), now_s)
-    records = [KeyedRecord(make_key(RecordKind.PROGRESS, job_id), value)]
+    records = encode_parts(job_id, snapshot_progress(work), work.parts, max_bytes, now_s)
     if work.state in FINAL_STATES:
         records.append(KeyedRecord(make_key(RecordKind.JOB, job_id), b""))
         if work.job.cancelled:
--- a/caroblead/dispatch/commit_test.py
+++ b/caroblead/dispatch/commit_test.py
@@ -9,8 +9,10 @@
 from ..core.resource import Resources
 from ..jobs.data import Job, JobQueue, JobSpec, JobState, Progress, StepSpec
 from ..jobs.progressrecord import read_state
+from ..jobs.record import KeyedRecord
 from ..standin.keyedlog import CallerFaults, MemoryLog, MemoryTopic
 from .commit import CommitQueue
+from .interface import LogLimits
 from .work import open_due_occurrences, open_job
 
 
@@ -21,11 +23,11 @@
     return work
 
 
-def play(scenario):
+def play(scenario, limits=LogLimits()):
     async def main():
         loop = asyncio.get_running_loop()
         use_clocks(loop.time, loop.time)
-        topic, caller_faults, lost = MemoryTopic(), CallerFaults(), []
+        topic, caller_faults, lost = MemoryTopic(limits=limits), CallerFaults(), []
         commit = CommitQueue(MemoryLog(topic, caller_faults), 1, loop.time(), lost.append)
         task = asyncio.create_task(commit.run())
         try:
@@ -115,3 +117,54 @@
         assert task.done()
 
     run_in_virtual_time(main())
+
+
+# Records that together exceed an append were refused together, and for ever.
+def test_decisions_on_many_jobs_are_recorded_by_several_appends_before_they_are_carried_out():
+    async def scenario(commit, topic, caller_faults, lost):
+        seen = []
+        for number in range(100):
+            commit.mark_dirty(make_work(f"{number:016x}"))
+        commit.add(KeyedRecord("l/load", b"x" * 400))
+        commit.mark_dirty(make_work(), lambda: seen.append(len(topic.newest)))
+        await asyncio.sleep(2)
+        assert seen == [102] and commit.refused == 0
+        assert commit.appends > 102 * 30 // 500
+
+    play(scenario, LogLimits(500, 500))
+
+
+def test_record_that_is_no_progress_and_too_large_is_left_out_alone():
+    async def scenario(commit, topic, caller_faults, lost):
+        commit.add(KeyedRecord("d/queues", b"x" * 500))
+        commit.mark_dirty(make_work())
+        await asyncio.sleep(1)
+        assert "p/a" in topic.newest and "d/queues" not in topic.newest
+        assert (commit.refused, lost) == (1, [])
+
+    play(scenario, LogLimits(500, 500))
+
+
+def test_job_whose_progress_can_not_be_encoded_ends_the_records_of_no_other_job():
+    async def scenario(commit, topic, caller_faults, lost):
+        bad = make_work("bad")
+        bad.steps[0, 0].step_progress.last_run = 2**70
+        commit.mark_dirty(bad)
+        commit.mark_dirty(make_work())
+        await asyncio.sleep(1)
+        assert "p/a" in topic.newest and not bad.is_recordable
+        assert commit.appends > 3
+
+    play(scenario)
+
+
+def test_refusal_after_an_append_without_an_answer_ends_the_term():
+    async def scenario(commit, topic, caller_faults, lost):
+        caller_faults.lost_answers = 1
+        commit.add(KeyedRecord("d/queues", b"x"))
+        await asyncio.sleep(0.1)
+        topic.limits = LogLimits(1, 1)
+        await asyncio.sleep(5)
+        assert len(lost) == 1
+
+    play(scenario)
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -11,7 +11,7 @@
 from ..core.timer import Timer, await_and_log_errors, call_and_log_errors
 from ..jobs.data import FINAL_STATES, Job, JobState, Progress, RunRecord, StepKey
 from ..jobs.ledger import MALFORMED, Change, JobAdded, JobCancelled, StoredJob
-from ..jobs.progressrecord import decode_progress
+from ..jobs.progressparts import ProgressPart, decode_parts
 from .commit import CommitQueue
 from .completion import drop_runs, list_broken_gang, settle_end
 from .crash import clear_survivors, list_condemned, note_crash, note_loss
@@ -39,7 +39,7 @@
 from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
-from .retention import DROP_INTERVAL_S, drop_old_jobs
+from .retention import DROP_INTERVAL_S, drop_old_jobs, drop_stray_parts
 from .takeover import inherit_run
 from .term import LeaderDependencies, TermState
 from .tick import run_ticks
@@ -122,6 +122,7 @@
         stored_jobs = self.dependencies.ledger.jobs.values()
         pairs = [(self._decode(stored), stored.encoded_progress) for stored in stored_jobs]
         found = [(job, progress) for job, progress in pairs if job is not None]
+        drop_stray_parts(self.dependencies.ledger, self.commit)
         for job, encoded_progress in sorted(found, key=lambda pair: pair[0].accepted_s):
             self._take_over_or_leave_out(job, encoded_progress)
         for row in self.fleet.rows.values():
@@ -147,8 +148,9 @@
 
     def _take_over(self, job: Job, encoded_progress: bytes) -> bool:
         """Opens a job with its recorded runs and returns true."""
-        progress = decode_progress(encoded_progress) if encoded_progress else Progress()
-        work = self._open_job(job, progress)
+        others = self.dependencies.ledger.parts.get(job.id, {})
+        progress, parts = decode_parts(encoded_progress, others)
+        work = self._open_job(job, progress, parts)
         for (occurrence, number), step_progress in progress.steps.items():
             step = work.steps[occurrence, number]
             if step_progress.crashes:
@@ -159,8 +161,8 @@
             self._finish(work, JobState.CANCELLED)
         return True
 
-    def _open_job(self, job: Job, progress: Progress) -> JobWork:
-        work = open_job(job, progress)
+    def _open_job(self, job: Job, progress: Progress, parts: list[ProgressPart]) -> JobWork:
+        work = open_job(job, progress, parts)
         team = self.dependencies.get_configuration().teams.get(job.team)
         work.surplus = take_share_token(self.state.buckets, team, job)
         if self.state.load_meter is not None:
--- a/caroblead/dispatch/retention.py
+++ b/caroblead/dispatch/retention.py
@@ -2,6 +2,7 @@
 
 from ..core.clock import get_wall_s
 from ..jobs.ledger import Ledger
+from ..jobs.progressparts import make_part_tombstones
 from ..jobs.record import KeyedRecord, RecordKind, make_key
 from .commit import CommitQueue
 
@@ -19,3 +20,10 @@
         for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
             commit.add(KeyedRecord(make_key(kind, name), b""))
         ledger.ended_at_s.pop(name)
+
+
+def drop_stray_parts(ledger: Ledger, commit: CommitQueue):
+    """Drops the parts of ended jobs that a former leader did not get to drop."""
+    for job_id in ledger.parts.keys() - ledger.jobs.keys():
+        for tombstone in make_part_tombstones(job_id, list(ledger.parts[job_id])):
+            commit.add(tombstone)
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -78,7 +78,7 @@
         if work.occurrences < max(1, work.job.spec.repeats):
             if open_due_occurrences(work, wall_s):
                 state.on_steps_opened(work)
-        if now_s >= work.ready_s:
+        if now_s >= work.ready_s and work.is_recordable:
             steps += [step for step in work.steps.values() if is_step_ready(step)]
     if not steps and features.fair_share:
         clear_over_share(state.shares)
@@ -217,6 +217,8 @@
     if state.lost:
         return
     detail = find_withdrawal_reason(state, runs)
+    if not step.work.is_recordable:
+        detail = "the log doesn't accept the progress of its job"
     if not is_registry_current(state.dependencies):
         detail = "the registry was not read in time"
     if detail:
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -4,6 +4,7 @@
 
 from ..core.resource import Resources
 from ..jobs.data import Job, JobState, Progress, RunRecord, StepKey, StepProgress, StepSpec
+from ..jobs.progressparts import ProgressPart
 from .expectation import ChainEstimate, Expectation, expect_by_estimate
 from .fleet import Run
 from .interface import TaskName
@@ -88,7 +89,8 @@
     """The state of a job with its steps by occurrence and number.
 
     ``due_s`` is when it should be done, which is ``target_s`` after it was accepted. No task of it
-    starts before ``ready_s``. A ``surplus`` job was submitted beyond its team's share.
+    starts before ``ready_s``. A ``surplus`` job was submitted beyond its team's share. ``parts``
+    are the parts in which its progress is recorded; no task starts once it isn't recordable.
     """
 
     job: Job
@@ -99,11 +101,17 @@
     target_s: float = 0.0
     ready_s: float = 0.0
     surplus: bool = False
+    parts: list[ProgressPart] = field(default_factory=lambda: [ProgressPart()])
+    is_recordable: bool = True
 
 
-def open_job(job: Job, progress: Progress) -> JobWork:
-    """Creates the state of a job from its recorded progress; the caller adds the runs."""
+def open_job(job: Job, progress: Progress, parts: list[ProgressPart] | None = None) -> JobWork:
+    """Creates the state of a job from its recorded progress; the caller adds the runs.
+
+    ``parts`` are the parts in which the progress is recorded; the default is a single one.
+    """
     work = JobWork(job, progress.state)
+    work.parts = parts or work.parts
     for occurrence, _ in progress.steps:
         work.occurrences = max(work.occurrences, occurrence + 1)
     for occurrence in range(work.occurrences):
@@ -142,11 +150,27 @@
 def _open_occurrence(work: JobWork, occurrence: int, progress: Progress):
     for number, spec in enumerate(work.job.spec.steps):
         step_progress = progress.steps.get((occurrence, number)) or StepProgress()
+        if spec.gang:
+            _equalize_gang(spec, step_progress)
         step = StepWork(StepKey(work.job.id, occurrence, number), spec, step_progress, work)
         step.waiting = set(range(spec.count)) - step_progress.done
         work.steps[occurrence, number] = step
 
 
+def _equalize_gang(spec: StepSpec, step_progress: StepProgress):
+    """Gives all tasks of a gang the same end and the same checkpoint.
+
+    What concerns a whole gang may be recorded in several parts, of which the last ones may be
+    missing after a change of the leader.
+    """
+    if step_progress.done:
+        step_progress.done = set(range(spec.count))
+        step_progress.checkpoints = {}
+    elif step_progress.checkpoints:
+        saved = step_progress.checkpoints[min(step_progress.checkpoints)]
+        step_progress.checkpoints = dict.fromkeys(range(spec.count), saved)
+
+
 def is_step_done(step: StepWork) -> bool:
     """Returns whether all tasks of a step have ended as done."""
     return len(step.step_progress.done) >= step.spec.count
--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -11,7 +11,7 @@
 
 from ..core.resource import Resources
 
-# The progress of a job is one record of the log, and the leader keeps every task in memory.
+# The leader keeps every task in memory.
 MAX_TASKS_PER_JOB = 50_000
 
 
@@ -161,12 +161,17 @@
     crashes: dict[int, CrashRecord] = field(default_factory=dict)
 
 
+# A step by its occurrence and its number.
+StepPlace = tuple[int, int]
+Steps = dict[StepPlace, StepProgress]
+
+
 @dataclass(slots=True)
 class Progress:
     """The mutable part of a job: everything known about it beyond its specification."""
 
     state: JobState = JobState.QUEUED
-    steps: dict[tuple[int, int], StepProgress] = field(default_factory=dict)
+    steps: Steps = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from .data import FINAL_STATES, Job, JobState
+from .progressparts import TaskPlace, parse_part_name
 from .progressrecord import read_final_time, read_state
 from .record import (
     KeyedRecord,
@@ -63,6 +64,7 @@
 class Ledger:
     """The jobs, the leader's term and the nodes, as far as the log has been read.
 
+    ``parts`` holds the parts of each job's progress but the first, by their first task.
     ``ended`` holds the final state of jobs whose specification has been dropped. ``learned`` holds
     what leaders learned of durations and speeds, as read, for the next leader to decode.
     ``load_report`` is the leader's last load report, or ``None`` if that can't be decoded.
@@ -73,6 +75,7 @@
     ended_at_s: dict[str, float] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
     pending_progress: dict[str, bytes] = field(default_factory=dict)
+    parts: dict[str, dict[TaskPlace, bytes]] = field(default_factory=dict)
     term: Term | None = None
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     learned: dict[str, bytes] = field(default_factory=dict)
@@ -109,7 +112,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HeartbeatReceived:
-    """The leader recorded a heartbeat, or a load report, which is as good a sign of it."""
+    """The leader recorded a heartbeat, or anything else that is as good a sign of it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -139,6 +142,9 @@
         return _apply_job(ledger, record)
     if record.kind == RecordKind.PROGRESS:
         return _apply_progress(ledger, record)
+    if record.kind == RecordKind.PART:
+        _apply_part(ledger, record)
+        return HeartbeatReceived()
     if record.kind == RecordKind.CANCEL:
         return _apply_cancel(ledger, record)
     if record.kind == RecordKind.HEARTBEAT:
@@ -227,6 +233,17 @@
     return ProgressRecorded(job_id)
 
 
+def _apply_part(ledger: Ledger, record: KeyedRecord):
+    job_id, start = parse_part_name(record.name)
+    parts = ledger.parts.setdefault(job_id, {})
+    if record.value:
+        parts[start] = record.value
+    else:
+        parts.pop(start, None)
+    if not parts:
+        del ledger.parts[job_id]
+
+
 def _apply_cancel(ledger: Ledger, record: KeyedRecord) -> Change | None:
     job_id = record.name
     if not record.value:
--- /dev/null
+++ b/caroblead/jobs/progressparts.py
@@ -0,0 +1,265 @@
+"""Divides the progress of a job into records that the log accepts.
+
+The log limits the size of a record, while a job may have any number of tasks with checkpoints. So
+the progress of a job is kept in parts, each with a range of its tasks in the order of occurrence,
+step and index. Most jobs have a single part, their progress record. A part that grows too large is
+divided, and each later part is a record of its own, whose key names the first task. For example,
+``q/5c0e7a21d94b36f8/0.1.40`` begins with task 40 of step 1.
+
+A part ends where the next one begins. When a part is divided, its second half is appended first,
+under a new key, and then the first half. A reader ignores what a part says of the tasks of the next
+part, so the state of every task is complete in the log at any time, whether or not both halves are
+stored by one append. Only the parts that have changed are written again.
+"""
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import NamedTuple
+
+import orjson
+
+from ..core.logsink import log
+from .data import FINAL_STATES, JobState, Progress, StepPlace, StepProgress, Steps
+from .progressrecord import (
+    DIVIDED,
+    decode_progress,
+    decode_steps,
+    encode_final_state,
+    encode_row,
+    encode_state,
+)
+from .record import KeyedRecord, RecordKind, compress, make_key
+
+# A small part is cheap to write again at each change.
+MAX_PART_BYTES = 65_536
+# The rows of a part before they are compressed; identical checkpoints compress to next to nothing.
+MAX_PLAIN_BYTES = 4 * 1024 * 1024
+
+
+class TaskPlace(NamedTuple):
+    """The place of a task in its job, by which tasks are ordered."""
+
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
+
+FIRST_PLACE = TaskPlace(0, 0, 0)
+
+
+@dataclass(slots=True)
+class ProgressPart:
+    """A part of the progress of a job, from the task at ``start`` to the next part.
+
+    ``last_runs`` holds the highest run number that is recorded in the part, by step, and
+    ``written`` the rows that were last written; ``None`` stands for unknown ones.
+    """
+
+    start: TaskPlace = FIRST_PLACE
+    last_runs: dict[StepPlace, int] = field(default_factory=dict)
+    written: list | None = None
+
+
+def make_part_key(job_id: str, start: TaskPlace) -> str:
+    """Returns the key of the record of a part."""
+    if start == FIRST_PLACE:
+        return make_key(RecordKind.PROGRESS, job_id)
+    return make_key(RecordKind.PART, f"{job_id}/{start}")
+
+
+def parse_part_name(name: str) -> tuple[str, TaskPlace]:
+    """Returns the job and the first task of a part other than the first, from its record's name."""
+    job_id, _, start = name.rpartition("/")
+    occurrence, step, index = map(int, start.split("."))
+    return job_id, TaskPlace(occurrence, step, index)
+
+
+def make_part_tombstones(job_id: str, starts: list[TaskPlace]) -> list[KeyedRecord]:
+    """Returns the records that drop all parts of a job but the first."""
+    return [
+        KeyedRecord(make_part_key(job_id, start), b"") for start in starts if start != FIRST_PLACE
+    ]
+
+
+# Encoding.
+
+
+def encode_parts(
+    job_id: str, progress: Progress, parts: list[ProgressPart], max_bytes: int, now_s: float
+) -> list[KeyedRecord]:
+    """Returns the records to append for the progress of a job, in this order.
+
+    No record is larger than ``max_bytes``. ``parts`` is updated: it holds the parts of the job as
+    they are once the records are stored. For a final state, only the state and the time are kept,
+    and the records of all other parts are dropped.
+    """
+    if progress.state in FINAL_STATES:
+        final = KeyedRecord(
+            make_part_key(job_id, FIRST_PLACE), encode_final_state(progress.state, now_s)
+        )
+        tombstones = make_part_tombstones(job_id, [part.start for part in parts])
+        parts[:] = [ProgressPart()]
+        return [final, *tombstones]
+    encoder = _PartEncoder(job_id, progress.state, min(max_bytes, MAX_PART_BYTES), len(parts) > 1)
+    slices = _slice_steps(progress.steps, parts)
+    found = [encoder.encode(part, steps) for part, steps in zip(parts, slices, strict=True)]
+    parts[:] = [part for group in found for part in group]
+    return encoder.records
+
+
+class _PartEncoder:
+    """Encodes the parts of a job and divides those that are too large.
+
+    ``records`` are those to append so far.
+    """
+
+    def __init__(self, job_id: str, state: JobState, max_bytes: int, is_divided: bool):
+        self.job_id = job_id
+        self.state = state
+        self.max_bytes = max_bytes
+        self.is_divided = is_divided
+        self.records: list[KeyedRecord] = []
+
+    def encode(self, part: ProgressPart, steps: Steps) -> list[ProgressPart]:
+        """Encodes a part, and returns the parts into which it was divided, or itself alone."""
+        rows = self._make_rows(part, steps)
+        if self.is_divided and rows == part.written:
+            return [part]
+        record = self._encode_rows(part, rows)
+        if record is None:
+            middle = _find_middle(steps)
+            if middle is not None:
+                return self._divide(part, steps, middle)
+            record = self._encode_without_checkpoints(part, steps)
+        self.records.append(record)
+        part.written = rows if self.is_divided else None
+        part.last_runs = {place: item.last_run for place, item in steps.items()}
+        return [part]
+
+    def _divide(self, part: ProgressPart, steps: Steps, middle: TaskPlace) -> list[ProgressPart]:
+        self.is_divided = True
+        log("job:progress_divided", job=self.job_id, at=str(middle))
+        last_runs = {place: item.last_run for place, item in steps.items()}
+        halves = ProgressPart(part.start, last_runs), ProgressPart(middle, dict(last_runs))
+        first_steps, second_steps = _slice_steps(steps, halves)
+        # The second half takes effect before the first one ends where it begins.
+        second = self.encode(halves[1], second_steps)
+        return [*self.encode(halves[0], first_steps), *second]
+
+    def _make_rows(self, part: ProgressPart, steps: Steps) -> list:
+        rows = [encode_row(place, item) for place, item in steps.items()]
+        if self.is_divided and part.start == FIRST_PLACE:
+            # The state is in the first part only, and written with it.
+            return [[DIVIDED, str(self.state)], *rows]
+        return rows
+
+    def _encode_rows(self, part: ProgressPart, rows: list) -> KeyedRecord | None:
+        """Returns the record of a part, or ``None`` if it is too large."""
+        text = orjson.dumps(rows)
+        if len(text) > MAX_PLAIN_BYTES:
+            return None
+        record = self._make_record(part, text)
+        return record if record.size <= self.max_bytes else None
+
+    def _make_record(self, part: ProgressPart, text: bytes) -> KeyedRecord:
+        value = encode_state(self.state) + compress(text)
+        return KeyedRecord(make_part_key(self.job_id, part.start), value)
+
+    def _encode_without_checkpoints(self, part: ProgressPart, steps: Steps) -> KeyedRecord:
+        """Returns the record of a single task whose checkpoint doesn't fit into any record."""
+        log("job:checkpoint_left_out", job=self.job_id, task=str(part.start))
+        bare = {place: replace(item, checkpoints={}) for place, item in steps.items()}
+        return self._make_record(part, orjson.dumps(self._make_rows(part, bare)))
+
+
+def _find_middle(steps: Steps) -> TaskPlace | None:
+    """Returns the task with which the second half of a part begins; a single task has none."""
+    places = sorted(
+        TaskPlace(*place, index) for place, item in steps.items() for index in _list_indexes(item)
+    )
+    return places[len(places) // 2] if len(places) > 1 else None
+
+
+def _list_indexes(item: StepProgress) -> set[int]:
+    """Returns the tasks of which something is recorded."""
+    indexes = item.done | item.failures.keys() | item.checkpoints.keys() | item.crashes.keys()
+    return indexes.union(run.task for run in item.runs)
+
+
+def _slice_steps(steps: Steps, parts: Sequence[ProgressPart]) -> list[Steps]:
+    """Returns the progress of the steps of a job as each of its parts holds it."""
+    if len(parts) == 1:
+        return [steps]
+    starts = [part.start for part in parts]
+    slices: list[Steps] = [{} for _ in parts]
+    for place, item in steps.items():
+        first = max(0, bisect_right(starts, (*place, 0)) - 1)
+        after = bisect_left(starts, (place[0], place[1] + 1, 0))
+        if after - first <= 1:
+            slices[first][place] = item
+            continue
+        cuts = [start.index for start in starts[first + 1 : after]]
+        for number, piece in enumerate(_cut_step(item, cuts), first):
+            known_run = parts[number].last_runs.get(place, 0)
+            piece.last_run = max([known_run, *(run.number for run in piece.runs)])
+            if piece != StepProgress():
+                slices[number][place] = piece
+    return slices
+
+
+def _cut_step(item: StepProgress, cuts: list[int]) -> list[StepProgress]:
+    """Cuts the progress of a step into pieces; each but the first begins at one of the tasks."""
+    pieces = [StepProgress() for _ in range(len(cuts) + 1)]
+    # The failures of a gang are kept with its first task.
+    pieces[0].last_failed_run = item.last_failed_run
+    for index in item.done:
+        pieces[bisect_right(cuts, index)].done.add(index)
+    for index, count in item.failures.items():
+        pieces[bisect_right(cuts, index)].failures[index] = count
+    for run in item.runs:
+        pieces[bisect_right(cuts, run.task)].runs.append(run)
+    for index, checkpoint in item.checkpoints.items():
+        pieces[bisect_right(cuts, index)].checkpoints[index] = checkpoint
+    for index, record in item.crashes.items():
+        pieces[bisect_right(cuts, index)].crashes[index] = record
+    return pieces
+
+
+# Decoding.
+
+
+def decode_parts(
+    first: bytes, others: Mapping[TaskPlace, bytes]
+) -> tuple[Progress, list[ProgressPart]]:
+    """Decodes the progress of a job and its parts, as written by :func:`encode_parts`.
+
+    ``first`` is the value of the job's progress record, empty if there is none, and ``others``
+    holds those of the other parts by their first task.
+    """
+    progress = decode_progress(first) if first else Progress()
+    starts = [FIRST_PLACE, *sorted(others)]
+    written = [progress.steps, *(decode_steps(others[start]) for start in starts[1:])]
+    parts = [
+        ProgressPart(start, {place: item.last_run for place, item in steps.items()})
+        for start, steps in zip(starts, written, strict=True)
+    ]
+    if others:
+        progress.steps = {}
+        for number, steps in enumerate(written):
+            for place, piece in _slice_steps(steps, parts)[number].items():
+                _merge(progress.steps.setdefault(place, StepProgress()), piece)
+    return progress, parts
+
+
+def _merge(item: StepProgress, piece: StepProgress):
+    item.last_run = max(item.last_run, piece.last_run)
+    item.last_failed_run = max(item.last_failed_run, piece.last_failed_run)
+    item.done |= piece.done
+    item.failures |= piece.failures
+    item.runs += piece.runs
+    item.checkpoints |= piece.checkpoints
+    item.crashes |= piece.crashes
--- a/caroblead/jobs/progressrecord.py
+++ b/caroblead/jobs/progressrecord.py
@@ -8,7 +8,9 @@
     JobState,
     Progress,
     RunRecord,
+    StepPlace,
     StepProgress,
+    Steps,
 )
 from .record import compress_json, decompress_json
 
@@ -25,17 +27,32 @@
 # The names of the extras of a step's row in a progress record.
 _LAST_FAILED_RUN = "g"
 _CRASHES = "c"
+# In a progress record that holds only the first part of the tasks, a row with this name and the
+# state precedes the others. A build that doesn't know of parts can't decode it, and leaves the job
+# alone instead of starting the tasks of the other parts again.
+DIVIDED = "divided"
+
+
+def encode_state(state: JobState) -> bytes:
+    """Encodes the state with which a progress record begins."""
+    return _STATE_LETTERS[state]
+
+
+def encode_final_state(state: JobState, at_s: float) -> bytes:
+    """Encodes the progress of a job that has ended: only the state and the wall-clock time."""
+    return encode_state(state) + orjson.dumps(at_s)
 
 
 def encode_progress(progress: Progress, at_s: float) -> bytes:
     """Encodes the progress of a job; for a final state, only the state and the time are kept."""
-    letter = _STATE_LETTERS[progress.state]
     if progress.state in FINAL_STATES:
-        return letter + orjson.dumps(at_s)
-    return letter + compress_json([_encode_row(*item) for item in progress.steps.items()])
+        return encode_final_state(progress.state, at_s)
+    rows = [encode_row(*item) for item in progress.steps.items()]
+    return encode_state(progress.state) + compress_json(rows)
 
 
-def _encode_row(place: tuple[int, int], step_progress: StepProgress) -> list:
+def encode_row(place: StepPlace, step_progress: StepProgress) -> list:
+    """Returns the progress of a step in the form in which a progress record holds it."""
     row = [
         *place,
         step_progress.last_run,
@@ -76,12 +93,16 @@
     progress = Progress(read_state(value))
     if progress.state in FINAL_STATES:
         return progress
-    for row in decompress_json(value[1:]):
-        occurrence, step, *fields = row
-        progress.steps[occurrence, step] = _decode_row(*fields)
+    progress.steps = decode_steps(value)
     return progress
 
 
+def decode_steps(value: bytes) -> Steps:
+    """Decodes the progress of the steps in a progress record of a job that hasn't ended."""
+    rows = decompress_json(value[1:])
+    return {(row[0], row[1]): _decode_row(*row[2:]) for row in rows if row[0] != DIVIDED}
+
+
 def _decode_row(last_run, done, failures, runs, checkpoints, extras=None) -> StepProgress:
     extras = extras or {}
     return StepProgress(
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -2,8 +2,8 @@
 
 Each record has a key, and the log keeps the newest record of every key, so that reading the newest
 records restores the whole state. A job has three keys: its specification, its cancellation and its
-progress. When the work of a job has ended, its records are dropped, except for the short progress
-record that holds the final state.
+progress, and more for the other parts of progress that is large. When the work of a job has ended,
+its records are dropped, except for the short progress record that holds the final state.
 """
 
 import enum
@@ -30,6 +30,7 @@
     JOB = "j"
     CANCEL = "c"
     PROGRESS = "p"
+    PART = "q"
     TERM = "t"
     HEARTBEAT = "b"
     NODE = "n"
@@ -185,7 +186,12 @@
 
 def compress_json(fields: object) -> bytes:
     """Encodes a record as compressed JSON, because every node reads every record."""
-    return zlib.compress(orjson.dumps(fields), COMPRESSION_LEVEL)
+    return compress(orjson.dumps(fields))
+
+
+def compress(text: bytes) -> bytes:
+    """Compresses a record that was encoded as JSON."""
+    return zlib.compress(text, COMPRESSION_LEVEL)
 
 
 def decompress_json(value: bytes) -> object:
--- a/caroblead/node/gauges.py
+++ b/caroblead/node/gauges.py
@@ -39,6 +39,7 @@
         gauges["reservations_lapsed_total"] = float(leader.fleet.lapsed_holds)
         gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
         gauges["steps_keeping_quota"] = float(leader.fleet.steps_keeping_quota)
+        gauges["records_refused_total"] = float(leader.commit.refused)
         gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
         gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
         gauges.update(leader.learning.list_gauges())
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -40,6 +40,11 @@
     return attrs.field(validator=checks, default=default)
 
 
+def _define_size(default: int):
+    checks = [validators.instance_of(int), validators.gt(0)]
+    return attrs.field(validator=checks, default=default)
+
+
 def _define_number(default: float, above: float, at_most: float | None = None):
     checks = [_check_number, validators.gt(above)]
     if at_most is not None:
@@ -57,7 +62,8 @@
     long a planned stop may take. The node may use ``core_share`` of a core that is ``core_speed``
     times as fast as a reference core, and a network link of ``link_mbps``. ``evacuation_ms`` is
     within how long no task may start any more in an availability zone that is evacuated, 0 where
-    zones aren't evacuated. With ``relay``, calls that the node can't serve are passed on to a peer.
+    zones aren't evacuated. The log accepts records of ``record_bytes`` and appends of
+    ``request_bytes``. With ``relay``, calls that the node can't serve are passed on to a peer.
     The other switches are for the optional decisions of
     :class:`caroblead.dispatch.features.Features`.
     """
@@ -80,6 +86,8 @@
     core_speed: float = _define_number(1.0, above=0)
     link_mbps: float = _define_number(1000.0, above=0)
     evacuation_ms: float = _define_number(0, above=-1)
+    record_bytes: int = _define_size(262_144)
+    request_bytes: int = _define_size(2_097_152)
     admission: bool = _define_switch()
     fair_share: bool = _define_switch()
     learned_durations: bool = _define_switch()
--- a/caroblead/platform/evacuation_test.py
+++ b/caroblead/platform/evacuation_test.py
@@ -103,3 +103,15 @@
     assert raw["evacuation_ms"] == evacuation_ms
     faults = check_node_settings(raw, "settings.json").faults
     assert "evacuation_ms" not in [fault.field for fault in faults]
+
+
+@pytest.mark.parametrize(
+    ("platform", "sizes"),
+    [
+        ({}, (262_144, 2_097_152)),
+        ({"platform.recordBytes": 65_536, "platform.requestBytes": 500_000}, (65_536, 500_000)),
+    ],
+)
+def test_settings_take_the_sizes_of_the_log_that_the_platform_names(platform, sizes):
+    raw = json.loads(render_template(platform))
+    assert (raw["record_bytes"], raw["request_bytes"]) == sizes
--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -21,15 +21,18 @@
 PRODUCER = "leader"
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
+# The length of a key is written as one byte.
+MAX_KEY_BYTES = 255
 READ_TIMEOUT_MARGIN_S = 0.5
 # Upper bound on the response of one read. A node that is far behind reads the log in several parts,
 # and a slow link can transfer each part within the timeout of a read.
 MAX_READ_KB = 128
 # A read that hangs must end sooner than the node counts as connected again after a cut.
 READ_NEWEST_TIMEOUT_S = 2.0
-# The largest page of newest records, in base64, and the largest record that a read returns.
+# The largest page of newest records, in base64.
 MAX_PAGE_BYTES = 1_500_000
-MAX_RECORD_BYTES = 262_144
+# The heartbeats of the leader wait behind an append for so long.
+MAX_APPEND_TRANSFER_S = 0.25
 # Other traffic of the node takes its part of the link.
 TRANSFER_FACTOR = 2.0
 # The store has appended nothing when it responds with one of these statuses.
@@ -43,10 +46,18 @@
     return TRANSFER_FACTOR * size_bytes * 8 / (link_mbps * 1e6)
 
 
+def _limit_to_link(limits: LogLimits, link_mbps: float) -> LogLimits:
+    """Returns the limits with appends that the link transfers in time, if the records allow it."""
+    transferred = int(MAX_APPEND_TRANSFER_S * link_mbps * 1e6 / 8 / TRANSFER_FACTOR)
+    call_bytes = max(limits.record_bytes, min(limits.call_bytes, transferred))
+    return LogLimits(limits.record_bytes, call_bytes)
+
+
 class PlatformLog:
     """Partition 0 of a topic in the platform's log store, read over a link of ``link_mbps``.
 
-    ``limits`` are the sizes that the store accepts.
+    ``limits`` are the sizes that the store accepts. An append holds no more than the link transfers
+    in :data:`MAX_APPEND_TRANSFER_S`, unless a single record does.
     """
 
     def __init__(
@@ -58,8 +69,10 @@
         limits: LogLimits = LogLimits(),
     ):
         self.http = http
-        self.limits = limits
-        self.read_margin_s = READ_TIMEOUT_MARGIN_S + compute_transfer_s(MAX_RECORD_BYTES, link_mbps)
+        self.limits = _limit_to_link(limits, link_mbps)
+        self.link_mbps = link_mbps
+        record_transfer_s = compute_transfer_s(limits.record_bytes, link_mbps)
+        self.read_margin_s = READ_TIMEOUT_MARGIN_S + record_transfer_s
         self.page_timeout_s = READ_NEWEST_TIMEOUT_S + compute_transfer_s(MAX_PAGE_BYTES, link_mbps)
         self.base_url = f"http://{address}/api"
         self.partition_query = f"topic={quote(topic)}&part=0"
@@ -75,6 +88,7 @@
         if fence is not None:
             url += f"&producer={PRODUCER}&epoch={fence.term}&sequence={fence.sequence}"
         body = b"".join(map(_frame_record, records))
+        timeout_s += compute_transfer_s(len(body), self.link_mbps)
         reply = await self._call("POST", url, timeout_s, body)
         if reply.status == 200:
             return self._decode_offset(reply)
@@ -185,6 +199,8 @@
 
 def _frame_record(record: KeyedRecord) -> bytes:
     key = record.key.encode()
+    if len(key) > MAX_KEY_BYTES:
+        raise RecordsRefusedError(f"the key of a record has {len(key)} bytes")
     return (
         RECORD_LENGTH.pack(1 + len(key) + len(record.value))
         + bytes((len(key),))
--- a/caroblead/platform/log_test.py
+++ b/caroblead/platform/log_test.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from ..core.outcome import LogError
+from ..dispatch.interface import LogLimits, RecordsRefusedError
 from ..jobs.record import KeyedRecord
 from .http import MAX_BODY_BYTES, CallFailedError, HttpClient, Reply
 from .listener import Listener
@@ -119,6 +120,42 @@
         assert transfer_s + 0.4 < timeout_s < CONTACT_S + 2 * transfer_s
 
 
+@pytest.mark.parametrize(("link_mbps", "call_bytes"), [(5.0, 262_144), (1000.0, 2_097_152)])
+def test_append_over_a_thin_link_is_small_enough_for_heartbeats_and_waited_for(
+    link_mbps, call_bytes
+):
+    class Silent:
+        async def call(self, method, url, timeout_s, body=None, headers=None):
+            timeouts.append(timeout_s)
+            raise CallFailedError("no response", True)
+
+    timeouts = []
+    log = PlatformLog(Silent(), "127.0.0.1:1", "keyed.t", link_mbps)
+    assert log.limits == LogLimits(262_144, call_bytes)
+    record = KeyedRecord("a", bytes(262_000))
+    with pytest.raises(LogError):
+        asyncio.run(log.append([record], None, 0.6))
+    assert timeouts[0] > 0.6 + record.size * 8 / (link_mbps * 1e6)
+
+
+def test_record_whose_key_is_too_long_for_the_store_is_refused_without_a_call():
+    log = PlatformLog(None, "127.0.0.1:1", "keyed.t")
+    with pytest.raises(RecordsRefusedError):
+        asyncio.run(log.append([KeyedRecord("n/" + "x" * 254, b"1")], None, 0.6))
+
+
+@pytest.mark.parametrize("status", [400, 413])
+def test_answer_that_no_repetition_can_change_is_told_from_a_passing_one(status):
+    class Refusing:
+        async def call(self, method, url, timeout_s, body=None, headers=None):
+            return Reply(status, b"{}")
+
+    log = PlatformLog(Refusing(), "127.0.0.1:1", "keyed.t")
+    with pytest.raises(RecordsRefusedError) as caught:
+        asyncio.run(log.append([KeyedRecord("a", b"1")], None, 0.6))
+    assert not caught.value.sent
+
+
 def test_response_that_is_too_large_for_the_memory_is_given_up():
     async def main():
         async def answer(request: web.BaseRequest) -> web.StreamResponse:
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -15,6 +15,7 @@
 
 from ..core.logsink import install_sink, log
 from ..core.outcome import describe_problem
+from ..dispatch.interface import LogLimits
 from ..node.configuration import ConfigurationView
 from ..node.evacuation import EvacuationView
 from ..node.gauges import write_metrics
@@ -61,7 +62,8 @@
     """
 
     def make_log(topic: str) -> PlatformLog:
-        return PlatformLog(store_http, settings.store, topic, settings.link_mbps)
+        limits = LogLimits(settings.record_bytes, settings.request_bytes)
+        return PlatformLog(store_http, settings.store, topic, settings.link_mbps, limits)
 
     adapters = NodeAdapters(
         ledger_log=make_log(LEDGER_TOPIC),
