Appender: batches that the log accepts, and a job that it can't store is rejected alone

Callers would have seen: 200 jobs in one append beyond requestBytes are refused together and answered 503 after 0.4 s of repetitions, and so is a job that no append can hold, which its caller then sends again in vain.

Fix: batches are cut by bytes; a record beyond recordBytes is rejected before it is sent (413, too large); a refused batch is appended in halves until the record that the log refuses stands alone; one of which an earlier append got no answer stays in doubt. A node that can't be announced says so once.

--- a/caroblead/dispatch/recordsize_test.py
+++ b/caroblead/dispatch/recordsize_test.py
@@ -1,18 +1,28 @@
 """Records that the log doesn't accept: no job, however large, holds up itself or any other."""
 
 import asyncio
+import random
 
 import pytest
 
+from ..core.outcome import Reason
 from ..core.resource import Resources
-from ..dispatch.interface import LogLimits
 from ..jobs.data import JobState
 from ..jobs.ledger import find_state
 from ..jobs.record import KeyedRecord
-from ..standin.cluster import find_leader, kill_node, run_scenario, start_node, start_site, submit
+from ..node.answer import Admission, Rejected
+from ..standin.cluster import (
+    QUEUES,
+    find_leader,
+    kill_node,
+    run_scenario,
+    start_node,
+    start_site,
+    submit,
+)
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
-from .interface import RecordsRefusedError
+from .interface import LogLimits, RecordsRefusedError
 
 LIMITS = LogLimits(record_bytes=16_384, call_bytes=65_536)
 SMALL = Resources(250, 200)
@@ -152,3 +162,24 @@
         return site
 
     judge(run_scenario(scenario))
+
+
+def test_job_that_the_log_can_not_store_is_rejected_at_once_and_takes_no_other_with_it():
+    async def scenario():
+        site = await start_site(limits=LogLimits(record_bytes=2048, call_bytes=8192))
+        loop = asyncio.get_running_loop()
+        rng = random.Random(1)
+        steps = [make_step(1, image=rng.randbytes(50).hex()) for _ in range(64)]
+        large, began_s = make_spec(*steps), loop.time()
+        handler, queue = site.nodes["n0"].request_handler, QUEUES["checks"]
+        calls = [submit(site, "n0", make_spec(make_step(1), seconds=0.5)) for _ in range(30)]
+        answer = handler.submit(Admission(queue, "north"), "00000000000000ee", large, 3.0)
+        outcome, *_ = await asyncio.gather(answer, *calls)
+        assert isinstance(outcome, Rejected) and outcome.fault.reason is Reason.TOO_LARGE
+        assert loop.time() - began_s < 0.5
+        assert len(site.caller_records.accepted) == 30
+        await asyncio.sleep(10)
+        assert "j/00000000000000ee" not in site.ledger.newest
+        return site
+
+    judge(run_scenario(scenario))
--- a/caroblead/node/appender.py
+++ b/caroblead/node/appender.py
@@ -3,17 +3,22 @@
 An attempt ends with the record stored, with the record certainly not stored, or with the outcome
 unknown. An append that was not answered is retried until the caller's deadline or one of the limits
 below. Retrying is safe because the records of jobs are idempotent, so a second copy has no effect.
+
+A batch holds no more than the log accepts. If the log refuses one all the same, its halves are
+appended apart, so that only the record that the log refuses is not stored.
 """
 
 import asyncio
 import enum
+from bisect import bisect_right
 from dataclasses import dataclass
+from itertools import accumulate
 
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.outcome import LogError
 from ..core.timer import await_and_log_errors
-from ..dispatch.interface import KeyedLog
+from ..dispatch.interface import KeyedLog, RecordsRefusedError
 from ..jobs.record import KeyedRecord
 
 APPEND_TIMEOUT_S = 0.6
@@ -34,10 +39,15 @@
 
 
 class AppendResult(enum.StrEnum):
-    """What is known about a record after the attempts to store it."""
+    """What is known about a record after the attempts to store it.
+
+    A record that the log will never accept is ``REFUSED``; one that is not stored may be accepted
+    later.
+    """
 
     STORED = "yes"
     NOT_STORED = "no"
+    REFUSED = "never"
     UNKNOWN = "unknown"
 
 
@@ -86,6 +96,9 @@
 
     async def append(self, record: KeyedRecord, timeout_s: float) -> AppendResult:
         """Stores a record and returns the result, after ``timeout_s`` seconds at the latest."""
+        if record.size > self.log.limits.record_bytes:
+            log("appender:refused", key=record.key, size=record.size)
+            return AppendResult.REFUSED
         if self.given_up:
             return AppendResult.NOT_STORED
         deadline_s = get_elapsed_s() + timeout_s
@@ -121,8 +134,7 @@
             await self.wake.wait()
             self.wake.clear()
             while self.waiting:
-                batch = self.waiting[:MAX_BATCH_RECORDS]
-                del self.waiting[:MAX_BATCH_RECORDS]
+                batch = self._take_batch()
                 self.in_flight = batch
                 await await_and_log_errors(self._append(batch))
                 self.in_flight = []
@@ -131,6 +143,14 @@
                     if entry not in self.waiting:
                         _resolve(entry, AppendResult.UNKNOWN)
 
+    def _take_batch(self) -> list[PendingRecord]:
+        """Takes as many of the first waiting records as one append may hold, at least one."""
+        sizes = accumulate(entry.record.size for entry in self.waiting[:MAX_BATCH_RECORDS])
+        count = max(1, bisect_right(list(sizes), self.log.limits.call_bytes))
+        batch = self.waiting[:count]
+        del self.waiting[:count]
+        return batch
+
     async def _append(self, batch: list[PendingRecord]):
         now_s = get_elapsed_s()
         sent_before = [entry.sent for entry in batch]
@@ -140,6 +160,10 @@
             entry.first_attempt_s = entry.first_attempt_s or now_s
         try:
             await self.log.append([entry.record for entry in batch], None, APPEND_TIMEOUT_S)
+        except RecordsRefusedError as error:
+            self._restore_sent(batch, sent_before)
+            await self._append_apart(batch, error)
+            return
         except LogError as error:
             self._mark_lost(error)
             self._requeue_or_resolve(batch, error.sent, sent_before)
@@ -155,6 +179,24 @@
         if pause_s:
             await asyncio.sleep(pause_s)
 
+    async def _append_apart(self, batch: list[PendingRecord], error: RecordsRefusedError):
+        """Appends the halves of a refused batch; ends the attempts for a record alone."""
+        middle = len(batch) // 2
+        if middle:
+            await self._append(batch[:middle])
+            # Callers that gave up meanwhile were told that their records aren't stored.
+            rest = [entry for entry in batch[middle:] if not entry.future.done()]
+            if rest:
+                await self._append(rest)
+            return
+        record = batch[0].record
+        log("appender:refused", key=record.key, size=record.size, error=str(error))
+        _resolve(batch[0], AppendResult.UNKNOWN if batch[0].sent else AppendResult.REFUSED)
+
+    def _restore_sent(self, batch: list[PendingRecord], sent_before: list[bool]):
+        for entry, was_sent in zip(batch, sent_before, strict=True):
+            entry.sent = was_sent
+
     def _requeue_or_resolve(self, batch: list[PendingRecord], sent: bool, sent_before: list[bool]):
         now_s = get_elapsed_s()
         retry = []
--- a/caroblead/node/appender_faults_test.py
+++ b/caroblead/node/appender_faults_test.py
@@ -6,18 +6,21 @@
 import pytest
 
 from ..core.outcome import LogError
+from ..dispatch.interface import LogLimits, RecordsRefusedError
 from ..jobs.record import KeyedRecord
 from .appender import Appender, AppendResult
 from .appender_test import play
 
 RECORDS = 60
 LATEST_S = 8.0
-STEPS = ("store", "refuse", "lose_answer", "delay", "fail", "lose_request")
+STEPS = ("store", "refuse", "refuse_for_good", "lose_answer", "delay", "fail", "lose_request")
 
 
 class FaultyLog:
     """A log that draws the outcome of each append; an append without an answer may come later."""
 
+    limits = LogLimits()
+
     def __init__(self, generator: random.Random):
         self.generator = generator
         self.stored: set[str] = set()
@@ -26,6 +29,8 @@
         step = self.generator.choice(STEPS)
         keys = [record.key for record in records]
         await asyncio.sleep(self.generator.uniform(0.0, 0.1))
+        if step == "refuse_for_good":
+            raise RecordsRefusedError("refused")
         if step == "refuse":
             raise LogError("refused", False)
         if step == "lose_request":
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -161,8 +161,11 @@
             compute_strength(settings),
         )
         keyed = KeyedRecord(make_key(RecordKind.NODE, settings.node), encode_node(record))
-        while await self.appender.append(keyed, ANNOUNCE_TIMEOUT_S) is not AppendResult.STORED:
+        results = AppendResult.STORED, AppendResult.REFUSED
+        while (result := await self.appender.append(keyed, ANNOUNCE_TIMEOUT_S)) not in results:
             log("node:not_announced")
+        if result is AppendResult.REFUSED:
+            log("node:can_not_be_announced", size=keyed.size)
 
     def is_ready(self) -> bool:
         """Returns whether the load balancer should route callers to this node.
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -91,7 +91,9 @@
         if result is AppendResult.STORED or find_state(self.get_ledger(), job_id) is not None:
             self._log_answer("job:accepted", job_id, admission)
             return Accepted()
-        if result is AppendResult.NOT_STORED:
+        if result is AppendResult.REFUSED:
+            log("job:refused", job=job_id, queue=admission.queue.name, reason="too_large")
+        elif result is AppendResult.NOT_STORED:
             log("job:refused", job=job_id, queue=admission.queue.name, reason="log_down")
         else:
             log("job:in_doubt", job=job_id, queue=admission.queue.name)
@@ -227,6 +229,10 @@
 
     def _explain_failure(self, result: AppendResult) -> Rejected | InDoubt:
         """Returns the answer to a caller whose record is not certainly stored in the log."""
+        if result is AppendResult.REFUSED:
+            return self._reject(
+                Reason.TOO_LARGE, Step.RECORD, "the job log takes no job of this size"
+            )
         if result is AppendResult.NOT_STORED:
             fault = self._make_fault(
                 Reason.LOG_DOWN, Step.RECORD, "the job log did not store the request", RETRY_AFTER_S
