--- a/caroblead/bench/plannedsoak.py
+++ b/caroblead/bench/plannedsoak.py
@@ -24,7 +24,7 @@
 from ..standin.caller import encode_configuration, encode_step
 from ..standin.cluster import KEY, QUEUES
 from ..standin.trial import generate_job
-from .soaksite import SoakRun, start_process, start_soak, stop_soak
+from .soaksite import CHECKPOINT_LENGTH, SoakRun, start_process, start_soak, stop_soak
 
 CALLERS = 40
 TRAFFIC_S = 12.0
@@ -87,7 +87,7 @@
 
 
 def _make_submission(soak: SoakRun, generator: random.Random) -> tuple[str, bytes]:
-    job_id, spec = f"{generator.getrandbits(64):016x}", generate_job(generator)
+    job_id, spec = f"{generator.getrandbits(64):016x}", generate_job(generator, CHECKPOINT_LENGTH)
     soak.caller_records.jobs[job_id] = spec
     message = {"spec": spec.payload, "steps": [encode_step(step) for step in spec.steps]}
     return job_id, _encode_request("POST", job_id, orjson.dumps(message))
--- a/caroblead/bench/soak.py
+++ b/caroblead/bench/soak.py
@@ -27,7 +27,14 @@
 from ..standin.trial import generate_job
 from ..standin.verdict import find_violations
 from ..standin.work import find_end_state
-from .soaksite import SoakRun, register_vm, start_process, start_soak, stop_soak
+from .soaksite import (
+    CHECKPOINT_LENGTH,
+    SoakRun,
+    register_vm,
+    start_process,
+    start_soak,
+    stop_soak,
+)
 
 TRAFFIC_S = 10.0
 JOBS = 60
@@ -213,7 +220,7 @@
     tasks = []
     for number in range(1, JOBS + 1):
         await asyncio.sleep(soak.generator.uniform(0.2, 1.8) * TRAFFIC_S / JOBS)
-        job_id, spec = f"{number:016x}", generate_job(soak.generator)
+        job_id, spec = f"{number:016x}", generate_job(soak.generator, CHECKPOINT_LENGTH)
         queue = QUEUES[soak.generator.choice(sorted(QUEUES))]
         tasks.append(asyncio.create_task(callers.submit(job_id, spec, queue)))
         if soak.generator.random() < CANCELLED_FRACTION and soak.caller_records.accepted:
--- a/caroblead/bench/soaksite.py
+++ b/caroblead/bench/soaksite.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from ..dispatch.interface import LogLimits
 from ..jobs.record import KeyedRecord
 from ..platform import configuration, registry
 from ..platform.serve import SETTINGS_VARIABLE
@@ -27,6 +28,9 @@
 HOST = "127.0.0.1"
 NODE_COUNT = 4
 VM_COUNT = 5
+# Small enough for the progress of some jobs to take several records.
+LIMITS = LogLimits(record_bytes=4096, call_bytes=16_384)
+CHECKPOINT_LENGTH = 2400
 
 
 @dataclass(slots=True, eq=False)
@@ -47,7 +51,7 @@
 
     def get_topic(self, name: str) -> MemoryTopic:
         """Returns a topic of the stand-in's store, which is created on first use."""
-        return self.platform.topics.setdefault(name, MemoryTopic())
+        return self.platform.get_topic(name)
 
 
 def start_process(soak: SoakRun, name: str):
@@ -75,6 +79,8 @@
         "peer_port": peers,
         "metrics_port": metrics,
         "store": soak.store_proxies[name].address,
+        "record_bytes": LIMITS.record_bytes,
+        "request_bytes": LIMITS.call_bytes,
     }
     (soak.folder / f"{name}.json").write_bytes(orjson.dumps(settings))
 
@@ -83,7 +89,7 @@
     """Starts the stand-ins, the proxies and the nodes."""
     caller_records = CallerRecords()
     vm_simulator = VmSimulator(make_behavior_lookup(caller_records.jobs))
-    platform = HttpPlatform(vm_simulator)
+    platform = HttpPlatform(vm_simulator, LIMITS)
     await platform.start()
     soak = SoakRun(seed, folder, random.Random(seed), platform, vm_simulator, caller_records)
     soak.get_topic(configuration.TOPIC).append(
--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -16,6 +16,7 @@
     Fence,
     FencedError,
     HoldAnswer,
+    LogLimits,
     RecordsRefusedError,
     Started,
     StartOrder,
@@ -52,11 +53,12 @@
 
     All VMs share its address; the header ``Expect-Instance`` names the VM that a call is meant for.
     ``advice`` maps the VMs that the advice service allows to their tickets. A ``status`` other than
-    200 is the response to every call, which then has no effect. A page of newest records has
-    ``keys_per_page`` at most.
+    200 is the response to every call, which then has no effect. The topics have ``limits``, and a
+    page of newest records has ``keys_per_page`` at most.
     """
 
-    def __init__(self, vm_simulator: VmSimulator | None = None):
+    def __init__(self, vm_simulator: VmSimulator | None = None, limits: LogLimits = LogLimits()):
+        self.limits = limits
         self.topics: dict[str, MemoryTopic] = {}
         self.vm_simulator = vm_simulator
         self.advice: dict[str, str] = {}
@@ -93,7 +95,11 @@
     def _get_topic(self, request: web.BaseRequest) -> MemoryTopic:
         if request.query["topic"] not in self.topics:
             _check(len(self.topics) < MAX_TOPICS, "too many topics")
-        return self.topics.setdefault(request.query["topic"], MemoryTopic())
+        return self.get_topic(request.query["topic"])
+
+    def get_topic(self, name: str) -> MemoryTopic:
+        """Returns a topic of the store, which is created on first use."""
+        return self.topics.setdefault(name, MemoryTopic(limits=self.limits))
 
     async def _answer_log_append(self, request, body: bytes) -> web.Response:
         if request.query["topic"] in OPERATORS_TOPICS:
