A cancel of a job that isn't in the log is stored: the job may still arrive

Cause: a log read to its end proves that a job isn't stored, and was taken for a proof that it never will be. The store carries out a call seconds later, and only the node that sent it knows.

What a node has sent without an answer it remembers, and tells nobody meanwhile that there is none or that it never runs (504, for GET 503 with Retry-After).

frontend_test.py expected 410 for the cancel of an unknown job; it now expects 200 and that a job of that id, submitted afterwards, is cancelled. The answer to GET stays 410.

Known red: a second POST at a node that can't know of the first.

--- a/caroblead/bench/trial.py
+++ b/caroblead/bench/trial.py
@@ -8,13 +8,21 @@
 
 import cyclopts
 
+from ..dispatch.interface import LogLimits
 from ..standin.trial import run_trial
 
 app = cyclopts.App(help="Trials of several nodes under mixed faults, in virtual time.")
 
 
 @app.default
-def search(seeds: int = 100, first: int = 1000, crashing_jobs: int = 0):
+def search(
+    seeds: int = 100,
+    first: int = 1000,
+    crashing_jobs: int = 0,
+    checkpoint_length: int = 0,
+    record_bytes: int = LogLimits().record_bytes,
+    early_cancels: int = 0,
+):
     """Runs the trials of a range of seeds.
 
     Parameters
@@ -25,10 +33,23 @@
         The first seed.
     crashing_jobs
         The number of jobs in each trial whose tasks crash their VMs.
+    checkpoint_length
+        The length in characters of the checkpoints that tasks save.
+    record_bytes
+        The size of the largest record that the log accepts; an append may hold four of them.
+    early_cancels
+        The number of jobs in each trial that are cancelled while they may still be stored.
     """
+    limits = LogLimits(record_bytes, 4 * record_bytes)
     failed_trials = accepted = starts = 0
     for seed in range(first, first + seeds):
-        outcome = run_trial(seed, crashing_jobs)
+        outcome = run_trial(
+            seed,
+            crashing_jobs,
+            checkpoint_length=checkpoint_length,
+            limits=limits,
+            early_cancels=early_cancels,
+        )
         accepted += outcome.accepted
         starts += outcome.starts
         if outcome.problems:
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -39,7 +39,7 @@
 from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
-from .retention import DROP_INTERVAL_S, drop_old_jobs, drop_stray_parts
+from .retention import DROP_INTERVAL_S, drop_old_records, drop_stray_parts
 from .takeover import inherit_run
 from .term import LeaderDependencies, TermState
 from .tick import run_ticks
@@ -77,7 +77,7 @@
         subscribe = self.dependencies.timers.subscribe
         self.timers += [
             subscribe(SWEEP_INTERVAL_S, self._sweep),
-            subscribe(DROP_INTERVAL_S, self._drop_old_jobs),
+            subscribe(DROP_INTERVAL_S, self._drop_old_records),
             *start_load_reports(self.state),
         ]
         self.tasks = [
@@ -391,5 +391,5 @@
                 log("job:given_up", job=task.job, task=str(task), crashes=crashes.total)
                 self._finish(step.work, JobState.FAILED)
 
-    def _drop_old_jobs(self):
-        drop_old_jobs(self.dependencies.ledger, self.commit)
+    def _drop_old_records(self):
+        drop_old_records(self.dependencies.ledger, self.commit)
--- a/caroblead/jobs/ledger.py
+++ b/caroblead/jobs/ledger.py
@@ -10,11 +10,13 @@
 from .progressparts import TaskPlace, parse_part_name
 from .progressrecord import read_final_time, read_state
 from .record import (
+    Cancellation,
     KeyedRecord,
     LoadReport,
     NodeRecord,
     RecordKind,
     Term,
+    decode_cancellation,
     decode_job,
     decode_load_report,
     decode_node,
@@ -64,16 +66,17 @@
 class Ledger:
     """The jobs, the leader's term and the nodes, as far as the log has been read.
 
-    ``parts`` holds the parts of each job's progress but the first, by their first task.
-    ``ended`` holds the final state of jobs whose specification has been dropped. ``learned`` holds
-    what leaders learned of durations and speeds, as read, for the next leader to decode.
-    ``load_report`` is the leader's last load report, or ``None`` if that can't be decoded.
+    ``cancelled`` holds the cancellations of jobs that haven't ended or aren't known, and ``parts``
+    the parts of each job's progress but the first, by their first task. ``ended`` holds the final
+    state of jobs whose specification has been dropped. ``learned`` holds what leaders learned of
+    durations and speeds, as read, for the next leader to decode. ``load_report`` is the leader's
+    last load report, or ``None`` if that can't be decoded.
     """
 
     jobs: dict[str, StoredJob] = field(default_factory=dict)
     ended: dict[str, JobState] = field(default_factory=dict)
     ended_at_s: dict[str, float] = field(default_factory=dict)
-    cancelled: set[str] = field(default_factory=set)
+    cancelled: dict[str, Cancellation] = field(default_factory=dict)
     pending_progress: dict[str, bytes] = field(default_factory=dict)
     parts: dict[str, dict[TaskPlace, bytes]] = field(default_factory=dict)
     term: Term | None = None
@@ -192,7 +195,10 @@
     if not record.value or job_id in ledger.jobs or job_id in ledger.ended:
         return None
     job = StoredJob(job_id, record.value)
-    if job_id in ledger.cancelled:
+    cancellation = ledger.cancelled.get(job_id)
+    if cancellation is not None and not _concerns(cancellation, job):
+        del ledger.cancelled[job_id]
+    elif cancellation is not None:
         job.cancelled = True
         job.state = JobState.CANCELLED
     job.encoded_progress = ledger.pending_progress.pop(job_id, b"")
@@ -217,7 +223,7 @@
         if job is not None and job.cancelled:
             state = JobState.CANCELLED
         ledger.jobs.pop(job_id, None)
-        ledger.cancelled.discard(job_id)
+        ledger.cancelled.pop(job_id, None)
         ledger.pending_progress.pop(job_id, None)
         ledger.ended[job_id] = state
         ledger.ended_at_s[job_id] = read_final_time(record.value)
@@ -247,12 +253,14 @@
 def _apply_cancel(ledger: Ledger, record: KeyedRecord) -> Change | None:
     job_id = record.name
     if not record.value:
-        ledger.cancelled.discard(job_id)
+        ledger.cancelled.pop(job_id, None)
         return None
     if job_id in ledger.ended:
         return None
-    job = ledger.jobs.get(job_id)
-    ledger.cancelled.add(job_id)
+    job, cancellation = ledger.jobs.get(job_id), decode_cancellation(record.value)
+    if job is not None and not _concerns(cancellation, job):
+        return None
+    ledger.cancelled[job_id] = cancellation
     if job is None or job.cancelled:
         return None
     job.cancelled = True
@@ -260,6 +268,26 @@
     return JobCancelled(job_id)
 
 
+def _concerns(cancellation: Cancellation, job: StoredJob) -> bool:
+    """Returns whether the team that cancelled a job may do so; both may come first."""
+    if cancellation.team is None:
+        return True
+    try:
+        found = job.decode()
+    except MALFORMED:
+        return True
+    return found.team == cancellation.team or found.queue.open_to_all
+
+
+def list_early_cancellations(ledger: Ledger) -> dict[str, Cancellation]:
+    """Returns the cancellations of jobs that aren't known, by the id of the job."""
+    return {
+        job_id: cancellation
+        for job_id, cancellation in ledger.cancelled.items()
+        if job_id not in ledger.jobs
+    }
+
+
 def find_state(ledger: Ledger, job_id: str) -> JobState | None:
     """Returns the state of a job, or ``None`` if the job is unknown."""
     job = ledger.jobs.get(job_id)
--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -114,6 +114,18 @@
     teams_over_share: frozenset[str] = frozenset()
 
 
+@dataclass(slots=True, frozen=True)
+class Cancellation:
+    """The cancellation of a job by ``team``, recorded at the wall-clock time ``at_s``.
+
+    It concerns whatever job has or gets the id; with a team only a job of that team, or of a queue
+    that is open to all.
+    """
+
+    team: str | None = None
+    at_s: float = 0.0
+
+
 def make_key(kind: RecordKind, name: str) -> str:
     """Returns the key of a record, such as ``p/`` and the job id for the progress of a job."""
     return f"{kind}/{name}"
@@ -235,6 +247,24 @@
     return Job(job_id, team, _decode_queue(raw["queue"]), spec, accepted_s)
 
 
+# The cancellation of a job that was known to its node.
+PLAIN_CANCELLATION = b"1"
+
+
+def encode_cancellation(cancellation: Cancellation) -> bytes:
+    """Encodes the cancellation of a job that its node doesn't know."""
+    return orjson.dumps([cancellation.team, cancellation.at_s])
+
+
+def decode_cancellation(value: bytes) -> Cancellation:
+    """Decodes a cancellation; raises ``ValueError`` or ``TypeError`` for any other content."""
+    if value == PLAIN_CANCELLATION:
+        return Cancellation()
+    cancellation = _decode_row_as(Cancellation, value)
+    _check(cancellation.team, str)
+    return cancellation
+
+
 def encode_term(term: Term) -> bytes:
     """Encodes a leader term."""
     return orjson.dumps([term.number, term.node, term.incarnation])
--- a/caroblead/node/admission.py
+++ b/caroblead/node/admission.py
@@ -27,9 +27,6 @@
 RETURNING_FRACTION = 0.05
 # Rejected callers are spread over this long at most.
 MAX_RETRY_AFTER_S = 60.0
-# How long an append without an answer may still take effect, as far as a node remembers.
-IN_DOUBT_S = 60.0
-MAX_IN_DOUBT = 10_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,7 +89,6 @@
         self.read_s = 0.0
         self.limits: dict[tuple[str, bool], float] = {}
         self.retry_at_s: dict[tuple[str, bool], float] = {}
-        self.in_doubt: dict[str, float] = {}
         self.rejections: Counter[tuple[str, bool]] = Counter()
 
     def observe(self, report: LoadReport | None):
@@ -170,16 +166,6 @@
         self.retry_at_s[queue, over_share] = at_s
         return at_s - now_s
 
-    def note_in_doubt(self, job_id: str):
-        """Remembers a job whose append got no answer: it may be stored, so it is not rejected."""
-        while len(self.in_doubt) >= MAX_IN_DOUBT:
-            self.in_doubt.pop(next(iter(self.in_doubt)))
-        self.in_doubt[job_id] = get_elapsed_s()
-
-    def is_in_doubt(self, job_id: str) -> bool:
-        """Returns whether an append of a job got no answer here and may still take effect."""
-        return get_elapsed_s() - self.in_doubt.get(job_id, -IN_DOUBT_S) < IN_DOUBT_S
-
     def write_metrics(self) -> list[str]:
         """Returns the rejections, the age of the report and its waits in the Prometheus format."""
         lines = ["# TYPE caroblead_jobs_rejected_total counter"]
--- a/caroblead/node/admission_test.py
+++ b/caroblead/node/admission_test.py
@@ -7,7 +7,8 @@
 from ..dispatch.interface import ListedVm, TeamLimits
 from ..jobs.data import Job, JobQueue, JobSpec, StepSpec
 from ..jobs.record import LoadReport, QueueWait
-from .admission import MAX_IN_DOUBT, MAX_REPORT_AGE_S, LoadControl, can_ever_run
+from .admission import MAX_REPORT_AGE_S, LoadControl, can_ever_run
+from .unsettled import MAX_UNSETTLED, UnsettledRecords
 
 QUEUE = JobQueue("q", "h", "/p/", "s", stretch=2.0, latency_s=1.0)
 CORE = Resources(1000, 100)
@@ -194,14 +195,14 @@
         assert not can_ever_run(JobSpec("", (step,)), "s", {}, team)
 
 
-def test_jobs_in_doubt_are_remembered_within_bounds(clock):
-    control = LoadControl()
-    for number in range(MAX_IN_DOUBT + 10):
-        control.note_in_doubt(str(number))
-    assert len(control.in_doubt) == MAX_IN_DOUBT
-    assert control.is_in_doubt(str(MAX_IN_DOUBT)) and not control.is_in_doubt("0")
+def test_records_in_doubt_are_remembered_within_bounds(clock):
+    unsettled = UnsettledRecords()
+    for number in range(MAX_UNSETTLED + 10):
+        unsettled.note(str(number))
+    assert len(unsettled.noted_s) == MAX_UNSETTLED
+    assert str(MAX_UNSETTLED) in unsettled and "0" not in unsettled
     clock.now_s += 61
-    assert not control.is_in_doubt(str(MAX_IN_DOUBT))
+    assert str(MAX_UNSETTLED) not in unsettled
 
 
 def test_metrics_show_the_rejections_the_age_and_the_expected_waits(clock):
--- a/caroblead/node/appender.py
+++ b/caroblead/node/appender.py
@@ -20,6 +20,7 @@
 from ..core.timer import await_and_log_errors
 from ..dispatch.interface import KeyedLog, RecordsRefusedError
 from ..jobs.record import KeyedRecord
+from .unsettled import UnsettledRecords
 
 APPEND_TIMEOUT_S = 0.6
 RETRY_INTERVAL_S = 0.05
@@ -55,7 +56,7 @@
 class PendingRecord:
     """A record whose append is in flight or queued.
 
-    ``sent`` tells that some attempt may have taken effect.
+    ``sent`` tells that some attempt may have taken effect, or may still do so.
     """
 
     record: KeyedRecord
@@ -82,7 +83,7 @@
 
     ``lost`` is set while appends fail, from the first failed one to the next successful one.
     ``in_flight`` holds the batch that is being appended, and ``given_up`` tells that no further
-    record is appended.
+    record is appended. ``unsettled`` holds the records of which an append got no answer.
     """
 
     def __init__(self, keyed_log: KeyedLog):
@@ -93,6 +94,7 @@
         self.wake = asyncio.Event()
         self.lost = False
         self.appends = 0
+        self.unsettled = UnsettledRecords()
 
     async def append(self, record: KeyedRecord, timeout_s: float) -> AppendResult:
         """Stores a record and returns the result, after ``timeout_s`` seconds at the latest."""
@@ -112,9 +114,15 @@
                 self.waiting.remove(entry)
             return AppendResult.UNKNOWN if entry.sent else AppendResult.NOT_STORED
 
-    def is_pending(self, key: str) -> bool:
-        """Returns whether a record with this key is being appended or is about to be."""
-        return any(entry.record.key == key for entry in [*self.in_flight, *self.waiting])
+    def is_unsettled(self, key: str) -> bool:
+        """Returns whether a record with this key may be stored later than now.
+
+        It is being appended or is about to be, or an append of it got no answer.
+        """
+        if key in self.unsettled:
+            return True
+        pending = [*self.in_flight, *self.waiting]
+        return any(entry.record.key == key and not entry.future.done() for entry in pending)
 
     def give_up(self):
         """Ends all attempts with what is known about each record, so that its caller can be told.
@@ -154,19 +162,23 @@
     async def _append(self, batch: list[PendingRecord]):
         now_s = get_elapsed_s()
         sent_before = [entry.sent for entry in batch]
+        settled = [entry.record.key for entry in batch if entry.record.key not in self.unsettled]
         for entry in batch:
             # Until an answer arrives, the record may have been stored.
             entry.sent = True
+            self.unsettled.note(entry.record.key)
             entry.first_attempt_s = entry.first_attempt_s or now_s
         try:
             await self.log.append([entry.record for entry in batch], None, APPEND_TIMEOUT_S)
         except RecordsRefusedError as error:
-            self._restore_sent(batch, sent_before)
+            self._restore_sent(batch, sent_before, settled)
             await self._append_apart(batch, error)
             return
         except LogError as error:
             self._mark_lost(error)
-            self._requeue_or_resolve(batch, error.sent, sent_before)
+            if not error.sent:
+                self._restore_sent(batch, sent_before, settled)
+            self._requeue_or_resolve(batch)
             await asyncio.sleep(RETRY_INTERVAL_S)
             return
         self.appends += 1
@@ -174,6 +186,7 @@
             self.lost = False
             log("appender:log_back")
         for entry in batch:
+            self.unsettled.settle(entry.record.key)
             _resolve(entry, AppendResult.STORED)
         pause_s = compute_pause_s(get_elapsed_s() - now_s)
         if pause_s:
@@ -193,15 +206,19 @@
         log("appender:refused", key=record.key, size=record.size, error=str(error))
         _resolve(batch[0], AppendResult.UNKNOWN if batch[0].sent else AppendResult.REFUSED)
 
-    def _restore_sent(self, batch: list[PendingRecord], sent_before: list[bool]):
+    def _restore_sent(
+        self, batch: list[PendingRecord], sent_before: list[bool], settled: list[str]
+    ):
+        """Takes back that an append was sent, which certainly had no effect."""
         for entry, was_sent in zip(batch, sent_before, strict=True):
             entry.sent = was_sent
+        for key in settled:
+            self.unsettled.settle(key)
 
-    def _requeue_or_resolve(self, batch: list[PendingRecord], sent: bool, sent_before: list[bool]):
+    def _requeue_or_resolve(self, batch: list[PendingRecord]):
         now_s = get_elapsed_s()
         retry = []
-        for entry, was_sent in zip(batch, sent_before, strict=True):
-            entry.sent = was_sent or sent
+        for entry in batch:
             if entry.future.done() or now_s >= entry.deadline_s:
                 _resolve(entry, AppendResult.UNKNOWN if entry.sent else AppendResult.NOT_STORED)
             elif not entry.sent and now_s - entry.first_attempt_s >= REFUSED_TIMEOUT_S:
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -38,7 +38,7 @@
     restart_a_vm_long_before_its_entry,
 )
 from ..dispatch.orders import OrderSender
-from ..jobs import record
+from ..jobs import progressrecord
 from ..jobs.ledger import JobCancelled
 from ..standin.cluster import CAPACITY, run_scenario
 from ..standin.trial import check_site, run_trial
@@ -176,14 +176,14 @@
 
 
 def forget_crashes_at_a_hand_over(monkeypatch):
-    encode = record._encode_extras
+    encode = progressrecord._encode_extras
 
     def leave_out_crashes(step_progress):
         extras = encode(step_progress)
-        extras.pop(record._CRASHES, None)
+        extras.pop(progressrecord._CRASHES, None)
         return extras
 
-    monkeypatch.setattr(record, "_encode_extras", leave_out_crashes)
+    monkeypatch.setattr(progressrecord, "_encode_extras", leave_out_crashes)
 
 
 def stop_unknown_runs_of_waiting_tasks(monkeypatch):
--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -12,8 +12,16 @@
 from ..core.outcome import Fault, Reason, Step
 from ..dispatch.interface import ListedVm, find_service
 from ..jobs.data import FINAL_STATES, Job, JobQueue, JobSpec, JobState
-from ..jobs.ledger import Ledger, count_waiting, find_state
-from ..jobs.record import KeyedRecord, RecordKind, encode_job, make_key
+from ..jobs.ledger import Ledger, count_waiting, find_state, list_early_cancellations
+from ..jobs.record import (
+    PLAIN_CANCELLATION,
+    Cancellation,
+    KeyedRecord,
+    RecordKind,
+    encode_cancellation,
+    encode_job,
+    make_key,
+)
 from .access import AccessControl
 from .admission import LoadControl, Verdict, can_ever_run
 from .answer import (
@@ -42,6 +50,10 @@
 # How long a job that would be rejected because of the load is searched for in the log. If the log
 # can't be read to its end by then, the job is accepted.
 REJECTION_LOOKUP_S = 0.1
+# A team may have cancelled so many jobs at a time that are not known. The leader drops these
+# cancellations after some minutes.
+MAX_EARLY_CANCELLATIONS = 1000
+EARLY_RETRY_AFTER_S = 30.0
 
 
 class RequestHandler:
@@ -97,10 +109,26 @@
             log("job:refused", job=job_id, queue=admission.queue.name, reason="log_down")
         else:
             log("job:in_doubt", job=job_id, queue=admission.queue.name)
-            if self.load_control is not None:
-                self.load_control.note_in_doubt(job_id)
         return self._explain_failure(result)
 
+    def is_unsettled(self, job_id: str) -> bool:
+        """Returns whether a job may be stored later than now, by what this node has sent.
+
+        Until that is settled, nobody is told that there is no such job or that it won't run.
+        """
+        return self.appender.is_unsettled(make_key(RecordKind.JOB, job_id))
+
+    def note_unsettled(self, job_id: str):
+        """Remembers that a peer may have stored a job, or may still do so."""
+        self.appender.unsettled.note(make_key(RecordKind.JOB, job_id))
+
+    def doubt(self, is_question: bool) -> Rejected | InDoubt:
+        """Returns the answer to a call for a job that may still be stored."""
+        detail = "the job log may still store the job"
+        if is_question:
+            return self._reject(Reason.LOG_DOWN, Step.ROUTE, detail, RETRY_AFTER_S)
+        return InDoubt(self._make_fault(Reason.LOG_DOWN, Step.RECORD, detail))
+
     async def _judge_by_load(
         self, control: LoadControl, job: Job, admission: Admission, budget_s: float
     ) -> Accepted | Rejected | None:
@@ -112,8 +140,7 @@
         verdict = control.judge(job, self._get_term())
         if verdict is None:
             return None
-        key = make_key(RecordKind.JOB, job.id)
-        if control.is_in_doubt(job.id) or self.appender.is_pending(key):
+        if self.is_unsettled(job.id):
             return self._note_not_rejected(verdict, job, "an earlier attempt is not settled")
         configuration = self.access.view.current
         service = find_service(configuration, job.queue)
@@ -128,7 +155,7 @@
             return self._note_not_rejected(verdict, job, "the log was not read in time")
         # The report may have changed meanwhile, and another attempt may have begun here.
         verdict = control.judge(job, self._get_term())
-        if verdict is None or control.is_in_doubt(job.id) or self.appender.is_pending(key):
+        if verdict is None or self.is_unsettled(job.id):
             return None
         return self._reject_by_load(control, verdict, job)
 
@@ -175,6 +202,8 @@
             state = await self._get_newest_state(job_id)
         if state is None:
             state = await self._look_up(job_id)
+        if state is None:
+            state = self._show_unknown(job_id)
         if isinstance(state, Rejected):
             return state
         log_routine(
@@ -202,8 +231,23 @@
         """Returns whether an answer that may be :data:`MAX_ANSWER_AGE_S` old can be given."""
         return self.ledger_tail.get_age_s() <= MAX_ANSWER_AGE_S or await self._catch_up()
 
-    async def cancel(self, job_id: str, budget_s: float) -> Cancelled | Rejected | InDoubt:
-        """Cancels a job permanently, unless it has already ended."""
+    def _show_unknown(self, job_id: str) -> JobState | Rejected:
+        """Returns what is shown of a job that isn't in the log."""
+        if not self.is_unsettled(job_id):
+            log("job:unknown", job=job_id)
+            return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
+        if job_id in self.get_ledger().cancelled:
+            return JobState.CANCELLED
+        return self.doubt(is_question=True)
+
+    async def cancel(
+        self, job_id: str, budget_s: float, team: str = ""
+    ) -> Cancelled | Rejected | InDoubt:
+        """Cancels a job permanently, unless it has already ended.
+
+        A job that isn't in the log is cancelled as well: an append of it may be on its way from any
+        node, and the job must not run once its ``team`` was told that there is none.
+        """
         state = find_state(self.get_ledger(), job_id)
         if state is None:
             state = await self._look_up(job_id)
@@ -211,14 +255,24 @@
             return state
         if state in FINAL_STATES:
             return Cancelled()
-        record = KeyedRecord(make_key(RecordKind.CANCEL, job_id), b"1")
+        value = PLAIN_CANCELLATION
+        if state is None:
+            if self._count_early_cancellations(team) >= MAX_EARLY_CANCELLATIONS:
+                detail = "the team has cancelled too many jobs that are not known"
+                return self._reject(Reason.QUEUE_FULL, Step.ADMIT, detail, EARLY_RETRY_AFTER_S)
+            value = encode_cancellation(Cancellation(team, round(get_wall_s(), 3)))
+        record = KeyedRecord(make_key(RecordKind.CANCEL, job_id), value)
         result = await self.appender.append(record, max(0.1, budget_s - ANSWER_MARGIN_S))
         if result is AppendResult.STORED:
-            log_routine("job:cancelled", job=job_id)
+            log_routine("job:cancelled", job=job_id, known=state is not None)
             return Cancelled()
         log("job:cancel_failed", job=job_id, stored=result)
         return self._explain_failure(result)
 
+    def _count_early_cancellations(self, team: str) -> int:
+        early = list_early_cancellations(self.get_ledger()).values()
+        return sum(cancellation.team == team for cancellation in early)
+
     def give_up(self) -> Rejected:
         """Ends the waits for the log, and returns the answer to requests that had no effect yet.
 
@@ -249,11 +303,12 @@
             return self._reject_unread_log()
         return Counted(count_waiting(self.get_ledger(), queue.name))
 
-    async def _look_up(self, job_id: str) -> JobState | Rejected:
+    async def _look_up(self, job_id: str) -> JobState | Rejected | None:
         """Searches the log for a job, and asks the leader if the log can't be read to its end.
 
-        Returns the job's state, or why it can't be shown. Only a copy that was read to the end of
-        the log since the call arrived proves that a job doesn't exist.
+        Returns the job's state, ``None`` if the log doesn't hold the job, or why neither can be
+        told. Only a copy that was read to the end of the log since the call arrived proves that the
+        log doesn't hold a job, and nothing proves that it won't later.
         """
         caught_up = await self._catch_up()
         state = find_state(self.get_ledger(), job_id)
@@ -261,8 +316,7 @@
             return state
         if not caught_up:
             return await self.notifier.ask(job_id) or self._reject_unread_log()
-        log("job:unknown", job=job_id)
-        return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
+        return None
 
     async def _catch_up(self) -> bool:
         """Reads the log to its end as of now; returns false if that fails or takes too long."""
--- a/caroblead/node/trial_test.py
+++ b/caroblead/node/trial_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ..dispatch.interface import LogLimits
 from ..standin.trial import run_trial
 
 SEEDS = range(16)
@@ -12,6 +13,9 @@
 # The members of a gang failed before and after a hand-over, and were counted as two failures.
 GANG_FAILURE_COUNTED_TWICE = (2016,)
 
+# Jobs were cancelled while they could still be stored, and ran when they were.
+EARLY_CANCEL_SEEDS = (40000, 40002, 40008, 40017, 40019, *range(4))
+
 # With crashing jobs, as pairs of a seed and their number. An innocent job was given up because its
 # task shared VMs with a crashing one, and another fault crashed the next VM.
 INNOCENT_GIVEN_UP = ((2071, 2),)
@@ -50,3 +54,18 @@
     outcome = run_trial(seed, evacuations=4)
     assert outcome.problems == [], outcome.faults
     assert outcome.starts > 50
+
+
+@pytest.mark.parametrize("seed", EARLY_CANCEL_SEEDS)
+def test_trial_with_jobs_cancelled_while_they_may_still_be_stored_keeps_every_guarantee(seed):
+    outcome = run_trial(seed, early_cancels=10)
+    assert outcome.problems == [], outcome.faults
+    assert outcome.starts > 50
+
+
+# The progress of most jobs with checkpoints takes several records.
+@pytest.mark.parametrize("seed", range(6))
+def test_trial_with_checkpoints_that_exceed_a_record_keeps_every_guarantee(seed):
+    outcome = run_trial(seed, checkpoint_length=4000, limits=LogLimits(3000, 12_000))
+    assert outcome.problems == [], outcome.faults
+    assert outcome.starts > 50
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -34,6 +34,8 @@
     Reason.QUEUE_FULL: 429,
 }
 IN_DOUBT_STATUS = 504
+# By method, the statuses that say of a job that there is none or that it never will run.
+DENIALS_BY_METHOD = {"POST": {429, 503}, "GET": {410}, "DELETE": {410}}
 DEFAULT_REJECTION_STATUS = 503
 
 
@@ -103,7 +105,8 @@
             if self.rejection_of_open_calls is None:
                 raise
             asyncio.current_task().uncancel()
-            response = _make_rejection_response(self.rejection_of_open_calls)
+            outcome = self._withhold_denial(request, self.rejection_of_open_calls)
+            response = _make_response(outcome)
         except web.HTTPException as error:
             response = _make_error_response(error.status, error.reason)
         except Exception as error:
@@ -126,6 +129,7 @@
             body = await request.read()
             if self.relay is not None and outcome.fault.reason in NODE_REASONS:
                 outcome = await self._pass_on(request, body, deadline_s) or outcome
+        outcome = self._withhold_denial(request, outcome)
         response = _make_response(outcome)
         if VIA_HEADER in request.headers:
             response.headers[VERSION_HEADER] = str(version)
@@ -145,6 +149,22 @@
         self.metrics.record_span("call_passed_on", get_elapsed_s() - started_s)
         return outcome
 
+    def _withhold_denial(self, request: web.BaseRequest, outcome):
+        """Returns the outcome of a call, but no denial of a job that may still be stored.
+
+        A peer, or a copy of the log that was read to its end, doesn't know what this node has sent.
+        """
+        handler, job_id = self.request_handler, request.path[-JOB_ID_LENGTH:]
+        status = _get_status(outcome)
+        if status == IN_DOUBT_STATUS and request.method == "POST":
+            handler.note_unsettled(job_id)
+        if status not in DENIALS_BY_METHOD.get(request.method, ()):
+            return outcome
+        if not handler.is_unsettled(job_id):
+            return outcome
+        log("job:denial_withheld", method=request.method, job=job_id)
+        return handler.doubt(request.method == "GET")
+
     async def _execute(self, request: web.BaseRequest, admission: Admission, deadline_s: float):
         """Returns the outcome of an admitted call, or the response to one that is malformed."""
         handler = self.request_handler
@@ -156,7 +176,7 @@
         if request.method == "GET":
             return await handler.show(job_id)
         if request.method == "DELETE":
-            return await handler.cancel(job_id, deadline_s - get_elapsed_s())
+            return await handler.cancel(job_id, deadline_s - get_elapsed_s(), admission.team)
         if request.method == "POST":
             return await self._submit(request, admission, job_id, deadline_s)
         return _make_error_response(405, "the method must be POST, GET or DELETE")
@@ -232,11 +252,20 @@
     return _make_rejection_response(outcome)
 
 
+def _get_status(outcome) -> int:
+    """Returns the status of a peer's answer or of an outcome that isn't a success, else 0."""
+    if isinstance(outcome, web.Response):
+        return outcome.status
+    if isinstance(outcome, InDoubt):
+        return IN_DOUBT_STATUS
+    if isinstance(outcome, Rejected):
+        return STATUS_BY_REASON.get(outcome.fault.reason, DEFAULT_REJECTION_STATUS)
+    return 0
+
+
 def _make_rejection_response(rejected: Rejected) -> web.Response:
     fault = rejected.fault
-    response = _make_error_response(
-        STATUS_BY_REASON.get(fault.reason, DEFAULT_REJECTION_STATUS), fault.detail
-    )
+    response = _make_error_response(_get_status(rejected), fault.detail)
     if fault.retry_after_s:
         response.headers["Retry-After"] = str(max(1, round(fault.retry_after_s)))
     return response
--- a/caroblead/platform/frontend_test.py
+++ b/caroblead/platform/frontend_test.py
@@ -1,5 +1,7 @@
 """End-to-end tests of the HTTP interface for callers, on a node with the platform stand-in."""
 
+import asyncio
+
 import orjson
 
 from ..core.resource import Resources
@@ -78,8 +80,14 @@
         assert (await send("POST", f"/c/{JOB}", b"x" * 300_000)).status == 413
         assert (await send("POST", f"/c/{JOB}", b"x" * 3_000_000)).status == 413
         assert (await send("GET", f"/c/{JOB}")).status == 410
-        assert (await send("DELETE", f"/c/{JOB}")).status == 410
         assert (await send("PUT", f"/c/{JOB}")).status == 405
+        # No read proves that the job isn't on its way, so the cancel is stored and has an effect.
+        assert (await send("DELETE", f"/c/{JOB}")).status == 200
+        assert (await send("GET", f"/c/{JOB}")).status == 410
+        site.caller_records.jobs[JOB] = _make_spec()
+        assert (await send("POST", f"/c/{JOB}", BODY)).status == 200
+        await asyncio.sleep(2)
+        assert (await send("GET", f"/c/{JOB}")).decode() == {"state": "cancelled"}
         assert site.vm_simulator.history == []
 
     run_with_frontend(scenario)
--- a/caroblead/platform/relay_test.py
+++ b/caroblead/platform/relay_test.py
@@ -18,7 +18,7 @@
 from .frontend_test import BODY, JOB, RpcClient, _make_spec
 from .http import CallFailedError, HttpClient
 from .listener import Listener
-from .relay import Relay
+from .relay import VERSION_HEADER, Relay
 from .serve import PEER_CONNECT_TIMEOUT_S
 
 # Longer than a node may go on with keys that it has not read anew.
@@ -135,6 +135,53 @@
     run_with_peer(scenario, serve_silent_peer)
 
 
+# A second call for a job was told that the job would never run, or that there was none, while the
+# first one was still on its way.
+@pytest.mark.parametrize(("method", "status"), [("POST", 504), ("GET", 503)])
+def test_job_that_a_silent_peer_may_still_store_is_not_denied(method, status):
+    async def scenario(site, caller):
+        assert (
+            await caller.call("POST", f"/c/{JOB}", BODY, **{"Deadline-Ms": "900"})
+        ).status == 504
+        body = BODY if method == "POST" else None
+        # The peer is left alone for a while, so the node answers by itself.
+        assert (await caller.call(method, f"/c/{JOB}", body)).status == status
+        other = "0" * 16
+        assert (await caller.call(method, f"/c/{other}", body)).status == 503
+        site.faults_by_node["n0"].down = False
+        await asyncio.sleep(1.0)
+        if method == "GET":
+            assert (await caller.call(method, f"/c/{JOB}")).status == 503
+            assert (await caller.call(method, f"/c/{other}")).status == 410
+            assert (await caller.call("DELETE", f"/c/{JOB}")).status == 200
+            await asyncio.sleep(0.5)
+            assert (await caller.call(method, f"/c/{JOB}")).decode() == {"state": "cancelled"}
+
+    run_with_peer(scenario, serve_silent_peer)
+
+
+@pytest.mark.parametrize("denial", [410, 429])
+def test_peer_denies_no_job_that_the_sender_may_have_stored(denial):
+    async def serve_denying_peer(site) -> Listener:
+        async def answer(request: web.BaseRequest) -> web.Response:
+            await request.read()
+            return web.Response(status=denial, headers={VERSION_HEADER: "9"})
+
+        listener = Listener(answer)
+        await listener.start("127.0.0.1", 0)
+        return listener
+
+    async def scenario(site, caller):
+        site.nodes["n0"].request_handler.note_unsettled(JOB)
+        expected = {("POST", 429): 504, ("DELETE", 410): 504, ("GET", 410): 503}
+        for method in ("POST", "DELETE", "GET"):
+            body = BODY if method == "POST" else None
+            reply = await caller.call(method, f"/c/{JOB}", body)
+            assert reply.status == expected.get((method, denial), denial)
+
+    run_with_peer(scenario, serve_denying_peer)
+
+
 async def serve_peer_that_is_full(site) -> Listener:
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(status=429, headers={"Retry-After": "7"})
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -7,6 +7,7 @@
 
 from ..core.clock import use_clocks, use_system_clocks
 from ..core.loop import run_in_virtual_time
+from ..core.outcome import Reason
 from ..core.resource import Resources
 from ..dispatch.interface import Advice, Configuration, ListedVm, LogLimits, TeamLimits
 from ..jobs.data import AdviceTimes, JobQueue, JobSpec
@@ -296,10 +297,14 @@
 
 
 async def cancel(site: Site, node: str, job_id: str):
-    """Cancels a job through a node and records when the cancellation was acknowledged."""
+    """Cancels a job through a node and records when the cancellation was acknowledged.
+
+    The answer that there is no such job is an acknowledgement too.
+    """
     site.caller_records.cancel_requested.add(job_id)
-    outcome = await site.nodes[node].request_handler.cancel(job_id, 3.0)
-    if isinstance(outcome, Cancelled):
+    outcome = await site.nodes[node].request_handler.cancel(job_id, 3.0, "north")
+    is_denied = isinstance(outcome, Rejected) and outcome.fault.reason is Reason.NO_SUCH_JOB
+    if isinstance(outcome, Cancelled) or is_denied:
         site.caller_records.cancelled_s[job_id] = asyncio.get_running_loop().time()
 
 
--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -212,7 +212,7 @@
 )
 
 
-def generate_job(rng: random.Random, checkpoint_length: int) -> JobSpec:
+def generate_job(rng: random.Random, checkpoint_length: int = 0) -> JobSpec:
     """Returns a random job of one or two steps.
 
     The first step may be a gang, save checkpoints, or run at most one task per VM.
@@ -257,6 +257,23 @@
         await cancel(site, rng.choice(sorted(site.nodes)), rng.choice(accepted_jobs))
 
 
+async def _cancel_early(site: Site, rng: random.Random, count: int):
+    """Submits jobs whose append is late and without an answer, and cancels them at any node."""
+    for _ in range(count):
+        await asyncio.sleep(rng.uniform(0.0, 2.0) * TRAFFIC_S / count)
+        if not site.nodes:
+            continue
+        name, spec = rng.choice(sorted(site.nodes)), generate_job(rng)
+        faults, canceller = site.faults_by_node[name], rng.choice(sorted(site.nodes))
+        faults.late_s = rng.uniform(1.0, LONGEST_FAULT_S)
+        submission = asyncio.create_task(submit(site, name, spec, rng.choice(sorted(QUEUES))))
+        await asyncio.sleep(rng.uniform(0.1, 1.5))
+        faults.late_s = 0.0
+        if canceller in site.nodes:
+            await cancel(site, canceller, list(site.caller_records.jobs)[-1])
+        await asyncio.gather(submission, return_exceptions=True)
+
+
 def draw_shrinks(seed: int) -> list[tuple[float, random.Random]]:
     """Returns when VMs shrink in the trial of a seed, each with its own generator.
 
@@ -317,13 +334,15 @@
     evacuations: int = 0,
     checkpoint_length: int = 0,
     limits: LogLimits = LogLimits(),
+    early_cancels: int = 0,
 ) -> TrialResult:
     """Runs the trial of a seed in virtual time and returns its result.
 
     Up to ``crashing_jobs`` jobs are added whose tasks crash their VMs. They have draws of their
     own, so that they don't change the other jobs and the faults. The same holds for the
     ``evacuations`` of zones. ``checkpoint_length`` is that of the tasks that save checkpoints, and
-    ``limits`` are those of the ledger.
+    ``limits`` are those of the ledger. ``early_cancels`` jobs are added that are cancelled while
+    they may still be stored.
     """
     rng = random.Random(seed)
     result = TrialResult(seed)
@@ -351,6 +370,9 @@
             crash_rng = random.Random(f"crashing jobs of {seed}")
             submission = _submit_crashing_jobs(site, crash_rng, crashing_jobs)
             tasks.append(asyncio.create_task(submission))
+        if early_cancels:
+            cancel_rng = random.Random(f"early cancels of {seed}")
+            tasks.append(asyncio.create_task(_cancel_early(site, cancel_rng, early_cancels)))
         await _submit_jobs(site, rng, checkpoint_length)
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S + crashing_jobs * SETTLE_PER_CRASHING_JOB_S)
