A checkpoint that is too long to be kept no longer hides its VM

Callers would have seen: a task with a checkpoint beyond 4,096 characters makes every answer of its VM count as none, so the lease runs out and everything there is killed, on VM after VM.

--- a/caroblead/platform/http.py
+++ b/caroblead/platform/http.py
@@ -10,8 +10,8 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_TIMEOUT_S = 60.0
 CONNECTIONS_PER_HOST = 8
-# A page of the store has at most 1 MB, a third more in base64.
-MAX_BODY_BYTES = 8 * 1024 * 1024
+# A page of the store has at most 1 MB, a third more in base64; the lists of a VM may have several.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 CLIENT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError)
 
 
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -2,6 +2,7 @@
 
 import re
 
+from ..core.logsink import log
 from ..dispatch.interface import (
     EndedTask,
     EndReason,
@@ -27,13 +28,14 @@
     read_text,
     read_whole,
 )
-from .http import CallFailedError, HttpClient, Reply
+from .http import MAX_BODY_BYTES, CallFailedError, HttpClient, Reply
 from .registry import MAX_BORN_MS
 
 HOLD_TIMEOUT_MARGIN_S = 0.4
 MAX_NAME_LENGTH = 256
-# A checkpoint is stored in the record of its job, of which the log takes a limited size.
-MAX_CHECKPOINT_LENGTH = 4096
+# A longer checkpoint is not kept: it must fit into one record of the log, and 500 of them into a
+# list of ends. Its task starts anew.
+MAX_CHECKPOINT_LENGTH = 16_384
 TASK_NAME = re.compile(r"[^.]+(\.[0-9]{1,9}){3}")
 # The meaning of the platform's reason strings in responses with status 409.
 REFUSAL_BY_REASON = {
@@ -174,13 +176,16 @@
 
 
 def _decode_ended_task(row: list) -> EndedTask:
-    return EndedTask(
+    ended = EndedTask(
         check_whole(row[0], "finished"),
         _decode_task_name(row[1]),
         check_whole(row[2], "finished"),
         EndReason(check_text(row[3], "finished")),
         _decode_checkpoint(row[4]),
     )
+    if row[4] and not ended.checkpoint:
+        log("vm:checkpoint_dropped", task=str(ended.task), length=len(row[4]))
+    return ended
 
 
 def _decode_task_name(value: object) -> TaskName:
@@ -191,4 +196,5 @@
 
 
 def _decode_checkpoint(value: object) -> str:
-    return check_text("" if value is None else value, "saved", MAX_CHECKPOINT_LENGTH)
+    checkpoint = check_text("" if value is None else value, "saved", MAX_BODY_BYTES)
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT_LENGTH else ""
