A record larger than a part of the log is read

A store that answers a read of 128 KB with no record, since the next one is larger, kept the reader at that offset for ever. The node now asks for that record alone. The test fails before.

--- a/caroblead/platform/adapter_test.py
+++ b/caroblead/platform/adapter_test.py
@@ -94,6 +94,21 @@
     run_with_platform(scenario)
 
 
+# A node asked for the same 128 KB for ever and never got beyond a record that is larger.
+def test_record_that_is_larger_than_a_part_of_the_log_is_read():
+    async def scenario(server, http):
+        log = PlatformLog(http, server.address, "keyed.test")
+        sizes = [10, 200_000, 262_000, 10]
+        records = [KeyedRecord(f"k{number}", bytes(size)) for number, size in enumerate(sizes)]
+        await log.append(records, None, 1.0)
+        found = []
+        for _ in sizes:
+            found += (await log.read(len(found), 0.2)).records
+        assert found == records
+
+    run_with_platform(scenario)
+
+
 def test_log_error_tells_whether_append_may_have_taken_effect():
     async def scenario(server, http):
         log = PlatformLog(http, server.address, "keyed.test")
--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -105,9 +105,16 @@
 
         See :class:`caroblead.dispatch.interface.KeyedLog`.
         """
+        batch = await self._read(offset, wait_s, MAX_READ_KB)
+        if batch.records or batch.end_offset <= offset:
+            return batch
+        # The next record alone is larger than the part that was asked for.
+        return await self._read(offset, 0.0, -(-self.limits.record_bytes // 1024) + MAX_READ_KB)
+
+    async def _read(self, offset: int, wait_s: float, max_kb: int) -> Batch:
         url = (
             f"{self.base_url}/log-read?{self.partition_query}"
-            f"&fromRevision={offset}&maxSizeKb={MAX_READ_KB}"
+            f"&fromRevision={offset}&maxSizeKb={max_kb}"
         )
         if wait_s > 0:
             url += f"&waitMs={int(wait_s * 1000)}"
