Load reports fit into a record however long the names are

Fewer are reported now until 32 KB hold them; the nodes accept the jobs of the others. The test fails before.

--- a/caroblead/jobs/record.py
+++ b/caroblead/jobs/record.py
@@ -138,6 +138,7 @@
 # The bounds of a load report, which every node reads once a second under load.
 MAX_REPORTED_QUEUES = 64
 MAX_REPORTED_TEAMS = 256
+MAX_LOAD_REPORT_BYTES = 32_768
 
 _PLAIN_TYPES = frozenset({bool, int, float, str})
 _STEP_FIELDS = StepSpec.__dataclass_fields__
@@ -297,16 +298,21 @@
     """Encodes a load report.
 
     Of more queues than the report may hold, those with the longest waits are kept; the nodes accept
-    the jobs of the others.
+    the jobs of the others. Long names leave room for fewer queues and teams.
     """
     longest = sorted(report.waits.items(), key=lambda item: (-item[1].beyond_s, item[0]))
-    waits = {
-        name: [wait.within_s, wait.beyond_s, wait.jobs_per_s]
-        for name, wait in longest[:MAX_REPORTED_QUEUES]
-    }
-    teams = sorted(report.teams_over_share)[:MAX_REPORTED_TEAMS]
-    fields = [LOAD_REPORT_VERSION, report.term, report.serial, report.at_s, waits, teams]
-    return orjson.dumps(fields)
+    teams = sorted(report.teams_over_share)
+    max_queues, max_teams = MAX_REPORTED_QUEUES, MAX_REPORTED_TEAMS
+    while True:
+        waits = {
+            name: [wait.within_s, wait.beyond_s, wait.jobs_per_s]
+            for name, wait in longest[:max_queues]
+        }
+        fields = [report.term, report.serial, report.at_s, waits, teams[:max_teams]]
+        value = orjson.dumps([LOAD_REPORT_VERSION, *fields])
+        if len(value) <= MAX_LOAD_REPORT_BYTES:
+            return value
+        max_queues, max_teams = max_queues // 2, max_teams // 2
 
 
 def decode_load_report(value: bytes) -> LoadReport:
--- a/caroblead/jobs/record_test.py
+++ b/caroblead/jobs/record_test.py
@@ -35,6 +35,7 @@
 from .progressrecord import decode_progress, encode_progress
 from .record import (
     MAX_DECOMPRESSED_BYTES,
+    MAX_LOAD_REPORT_BYTES,
     MAX_REPORTED_QUEUES,
     KeyedRecord,
     LoadReport,
@@ -255,3 +256,13 @@
         decode_job("a", encode_job(job))
     with pytest.raises(ValueError):
         decode_job("a", zlib.compress(b" " * (MAX_DECOMPRESSED_BYTES + 1)))
+
+
+def test_load_report_with_long_names_fits_into_a_record():
+    waits = {f"{n:04d}" * 1000: QueueWait(1.0, float(n)) for n in range(64)}
+    teams = frozenset(f"{n:04d}" * 1000 for n in range(256))
+    value = encode_load_report(LoadReport(1, 1, 1.0, waits, teams))
+    assert len(value) <= MAX_LOAD_REPORT_BYTES
+    found = decode_load_report(value)
+    assert list(found.waits)[0] == "0063" * 1000
+    assert found.teams_over_share and found.teams_over_share <= teams
