A run whose end isn't listed yet doesn't count as gone

Cause: a VM lists 500 ends at a time, and a run that was in neither of its lists counted as gone, though a full list of ends is only its first part.

Evidence: task:gone, 'its VM does not list it', for the runs beyond the 500th end of each VM, and no vm:lapsed.

Fix: a full list of ends proves nothing of the runs that it doesn't hold (HoldAnswer.more_ends); once its ends are recorded, the VM lists the next ones.

--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -169,12 +169,16 @@
 
 @dataclass(slots=True, frozen=True)
 class HoldAnswer:
-    """A VM's answer to a lease renewal, with its running tasks and the ends that it retains."""
+    """A VM's answer to a lease renewal, with its running tasks and the ends that it retains.
+
+    With ``more_ends`` the VM may retain later ends that the answer doesn't list.
+    """
 
     clock_ms: int
     incarnation: int
     running: list[RunningTask]
     ended: list[EndedTask]
+    more_ends: bool = False
 
 
 class StartRefusal(enum.StrEnum):
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -140,7 +140,7 @@
             item = listed.pop(place, None)
             if item is not None:
                 self._handle_running(run, item)
-            elif place not in ended:
+            elif place not in ended and not answer.more_ends:
                 self._handle_absent(run, sent_s)
         row.unknown_runs = len(listed)
         for item in listed.values():
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -36,6 +36,8 @@
 # A longer checkpoint is not kept: it must fit into one record of the log, and 500 of them into a
 # list of ends. Its task starts anew.
 MAX_CHECKPOINT_LENGTH = 16_384
+# A VM lists no more ends at a time.
+MAX_ENDS_PER_ANSWER = 500
 TASK_NAME = re.compile(r"[^.]+(\.[0-9]{1,9}){3}")
 # The meaning of the platform's reason strings in responses with status 409.
 REFUSAL_BY_REASON = {
@@ -145,11 +147,13 @@
 
 
 def _decode_hold_answer(raw: dict) -> HoldAnswer:
+    ended = [_decode_ended_task(row) for row in _list_rows(raw, "finished", 5)]
     return HoldAnswer(
         read_whole(raw, "clockMs"),
         read_whole(raw, "born", 0, high=MAX_BORN_MS),
         [_decode_running_task(row) for row in _list_rows(raw, "running", 4)],
-        [_decode_ended_task(row) for row in _list_rows(raw, "finished", 5)],
+        ended,
+        len(ended) >= MAX_ENDS_PER_ANSWER,
     )
 
 
--- a/caroblead/platform/vms_test.py
+++ b/caroblead/platform/vms_test.py
@@ -108,6 +108,12 @@
     assert [item.checkpoint for item in answer.ended] == [saved, ""]
 
 
+@pytest.mark.parametrize(("count", "more_ends"), [(499, False), (500, True)])
+def test_list_of_ends_that_may_be_only_the_first_part_is_told_apart(count, more_ends):
+    ends = [change(ENDED, 0, number) for number in range(1, count + 1)]
+    assert hold({"finished": ends}).more_ends is more_ends
+
+
 @pytest.mark.parametrize("clock", ["1e308", nest(1000), '"5"', "-1"])
 def test_odd_answer_to_an_order_counts_as_no_answer(clock):
     vms = PlatformVms(FakeHttp(f'{{"clockMs":{clock}}}'))
--- a/caroblead/standin/vmsimulator.py
+++ b/caroblead/standin/vmsimulator.py
@@ -341,9 +341,9 @@
             )
             for task, run in vm.active_runs.items()
         ]
-        return HoldAnswer(
-            self.get_clock_ms(vm), vm.incarnation, running, vm.ended[:MAX_ENDS_PER_ANSWER]
-        )
+        ended = vm.ended[:MAX_ENDS_PER_ANSWER]
+        more_ends = len(ended) == MAX_ENDS_PER_ANSWER
+        return HoldAnswer(self.get_clock_ms(vm), vm.incarnation, running, ended, more_ends)
 
     def _save(self, vm: SimulatedVm, run: ActiveRun) -> str:
         """Returns the newest checkpoint of a run, an empty string if there is none."""
