Late steps ask for advice at all nodes that nobody else needs

Cause: steps that are late by three times their objective had one open request for advice for every three nodes, two of six, also when nothing else waited: 16 to 22 steps a second.

Evidence: advice:got at that rate with two calls open, while ticks go on and the store answers at once.

Fix: all nodes but one while no step that is still of use needs an answer.

--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -49,8 +49,9 @@
 MAX_RECORD_DELAY_S = 0.4
 # The delay before a failed request to the advice service is retried.
 ADVICE_RETRY_S = 0.1
-# One node in so many may ask about steps that are too late to be of use.
-NODES_PER_USELESS_REQUEST = 3
+# So many nodes don't ask about steps that are too late to be of use: one that is still of use may
+# come meanwhile.
+NODES_KEPT_FOR_USEFUL = 1
 # The advice service accepts at most this many VMs in one request.
 MAX_VMS_PER_REQUEST = 100
 
@@ -141,7 +142,7 @@
     shares = _get_shares(state)
     tiers = {step.key: find_tier(step, wall_s, shares) for step in (*needed, *pending)}
     queue = state.dependencies.advice_queue
-    max_useless = max(1, len(queue.advisers) // NODES_PER_USELESS_REQUEST)
+    max_useless = max(1, len(queue.advisers) - NODES_KEPT_FOR_USEFUL)
     return select_requests(needed, pending, tiers, not queue.waiting, max_useless)
 
 
