--- a/caroblead/bench/plannedsoak.py
+++ b/caroblead/bench/plannedsoak.py
@@ -23,7 +23,7 @@
 from ..platform import configuration
 from ..standin.caller import encode_configuration, encode_step
 from ..standin.cluster import KEY, QUEUES
-from ..standin.trial import generate_job
+from ..standin.trialdraw import generate_job
 from .soaksite import CHECKPOINT_LENGTH, SoakRun, start_process, start_soak, stop_soak
 
 CALLERS = 40
--- a/caroblead/bench/soak.py
+++ b/caroblead/bench/soak.py
@@ -24,7 +24,7 @@
 from ..standin.caller import Callers
 from ..standin.cluster import CAPACITY, KEY, QUEUES
 from ..standin.proxy import ForwardingMode
-from ..standin.trial import generate_job
+from ..standin.trialdraw import generate_job
 from ..standin.verdict import find_violations
 from ..standin.work import find_end_state
 from .soaksite import (
--- a/caroblead/platform/log_test.py
+++ b/caroblead/platform/log_test.py
@@ -103,20 +103,26 @@
 CONTACT_S = 3.0
 
 
+class Silent:
+    """A client whose calls get no answer; ``timeouts`` are how long each was waited for."""
+
+    def __init__(self):
+        self.timeouts = []
+
+    async def call(self, method, url, timeout_s, body=None, headers=None):
+        self.timeouts.append(timeout_s)
+        raise CallFailedError("no response", True)
+
+
 @pytest.mark.parametrize("link_mbps", [5.0, 100.0, 1000.0])
 def test_read_that_gets_no_answer_ends_in_time_and_one_over_a_thin_link_is_waited_for(link_mbps):
-    class Silent:
-        async def call(self, method, url, timeout_s, body=None, headers=None):
-            timeouts.append(timeout_s)
-            raise CallFailedError("no response", True)
-
-    timeouts = []
-    log = PlatformLog(Silent(), "127.0.0.1:1", "keyed.t", link_mbps)
+    http = Silent()
+    log = PlatformLog(http, "127.0.0.1:1", "keyed.t", link_mbps)
     for read in (log.read(0, 0.4), log.read_newest()):
         with pytest.raises(LogError):
             asyncio.run(read)
     transfers_s = [size * 8 / (link_mbps * 1e6) for size in (262_144, 1_400_000)]
-    for timeout_s, transfer_s in zip(timeouts, transfers_s, strict=True):
+    for timeout_s, transfer_s in zip(http.timeouts, transfers_s, strict=True):
         assert transfer_s + 0.4 < timeout_s < CONTACT_S + 2 * transfer_s
 
 
@@ -124,18 +130,13 @@
 def test_append_over_a_thin_link_is_small_enough_for_heartbeats_and_waited_for(
     link_mbps, call_bytes
 ):
-    class Silent:
-        async def call(self, method, url, timeout_s, body=None, headers=None):
-            timeouts.append(timeout_s)
-            raise CallFailedError("no response", True)
-
-    timeouts = []
-    log = PlatformLog(Silent(), "127.0.0.1:1", "keyed.t", link_mbps)
+    http = Silent()
+    log = PlatformLog(http, "127.0.0.1:1", "keyed.t", link_mbps)
     assert log.limits == LogLimits(262_144, call_bytes)
     record = KeyedRecord("a", bytes(262_000))
     with pytest.raises(LogError):
         asyncio.run(log.append([record], None, 0.6))
-    assert timeouts[0] > 0.6 + record.size * 8 / (link_mbps * 1e6)
+    assert http.timeouts[0] > 0.6 + record.size * 8 / (link_mbps * 1e6)
 
 
 def test_record_whose_key_is_too_long_for_the_store_is_refused_without_a_call():
--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -12,7 +12,6 @@
 
 from ..core.resource import Resources
 from ..dispatch.interface import LogLimits
-from ..jobs.data import JobSpec, StepSpec
 from ..jobs.ledger import find_state
 from .cluster import (
     CAPACITY,
@@ -31,22 +30,25 @@
     start_site,
     submit,
 )
+from .trialdraw import (
+    TRAFFIC_S,
+    ZONES,
+    draw_evacuations,
+    draw_shrinks,
+    generate_crashing_job,
+    generate_job,
+)
 from .verdict import find_violations, list_starts_in_evacuated_zones
-from .work import FAILS_EVERY_RUN, find_end_state, make_spec
+from .work import find_end_state
 
 VM_COUNT = 5
 NODE_COUNT = 3
-TRAFFIC_S = 12.0
 SETTLE_S = 45.0
 SETTLE_PER_CRASHING_JOB_S = 15.0
-ZONES = ("a", "b")
 EVACUATION_MS = 5000
 JOBS = 40
 FAULT_COUNTS = (2, 3, 4, 5)
 CANCELLED_FRACTION = 0.1
-FAILING_FRACTION = 0.15
-SHRINKING_FRACTION = 0.3
-MAX_SHRINKS = 3
 LONGEST_FAULT_S = 6.0
 
 Fault = Callable[[Site, random.Random], Awaitable[None]]
@@ -212,31 +214,6 @@
 )
 
 
-def generate_job(rng: random.Random, checkpoint_length: int = 0) -> JobSpec:
-    """Returns a random job of one or two steps.
-
-    The first step may be a gang, save checkpoints, or run at most one task per VM.
-    """
-    need = Resources(rng.choice((500, 1000, 2000)), rng.choice((512, 1024)))
-    options = rng.choice(
-        ({}, {}, {"gang": True}, {"max_per_vm": 1}, {"checkpoints": True}, {"gang": True})
-    )
-    estimate_s = rng.uniform(0.3, 3.0)
-    count = rng.randint(1, 4)
-    steps = [StepSpec(count, need, estimate_s, **options)]
-    if rng.random() < 0.3:
-        steps.append(StepSpec(rng.randint(1, 3), need, estimate_s, after=(0,)))
-    failing_run_count = (
-        rng.choice((1, 1, FAILS_EVERY_RUN)) if rng.random() < FAILING_FRACTION else 0
-    )
-    return make_spec(
-        *steps,
-        seconds=estimate_s * rng.uniform(0.7, 1.5),
-        failing_runs=failing_run_count,
-        checkpoint_length=checkpoint_length,
-    )
-
-
 async def _submit_jobs(site: Site, rng: random.Random, checkpoint_length: int):
     """Submits jobs at random intervals over the traffic time and cancels some."""
     tasks = []
@@ -274,28 +251,6 @@
         await asyncio.gather(submission, return_exceptions=True)
 
 
-def draw_shrinks(seed: int) -> list[tuple[float, random.Random]]:
-    """Returns when VMs shrink in the trial of a seed, each with its own generator.
-
-    They are drawn apart from the other faults, so that a seed still draws the same other faults and
-    jobs as before there were shrinks.
-    """
-    rng = random.Random(f"shrinks of {seed}")
-    if rng.random() >= SHRINKING_FRACTION:
-        return []
-    count = rng.randint(1, MAX_SHRINKS)
-    return [(rng.uniform(1.0, TRAFFIC_S), random.Random(rng.random())) for _ in range(count)]
-
-
-def draw_evacuations(seed: int, count: int) -> list[tuple[float, str, float]]:
-    """Returns when a zone is evacuated in the trial of a seed, which one, and for how long."""
-    rng = random.Random(f"evacuations of {seed}")
-    return [
-        (rng.uniform(0.5, TRAFFIC_S), rng.choice((*ZONES, "unknown")), rng.uniform(2.0, 12.0))
-        for _ in range(count)
-    ]
-
-
 async def _evacuate(site: Site, at_s: float, zone: str, duration_s: float):
     await asyncio.sleep(at_s)
     evacuate_zone(site, zone)
@@ -309,17 +264,6 @@
     await fault(site, rng)
 
 
-def generate_crashing_job(rng: random.Random) -> JobSpec:
-    """Returns a random job whose tasks crash their VMs, at the start order or later.
-
-    It may be a gang or endless.
-    """
-    options = rng.choice(({}, {}, {"gang": True}, {"endless": True}))
-    step = StepSpec(rng.randint(1, 2), Resources(1000, 512), rng.uniform(0.3, 3.0), **options)
-    after_s = rng.choice((0.0, rng.uniform(0.05, 2.0)))
-    return make_spec(step, seconds=60.0, crashes_after_s=after_s, down_s=rng.uniform(0.5, 4.0))
-
-
 async def _submit_crashing_jobs(site: Site, rng: random.Random, count: int):
     for _ in range(count):
         await asyncio.sleep(rng.uniform(0.0, 2.0) * TRAFFIC_S / count)
