--- a/caroblead/bench/dispatch.py
+++ b/caroblead/bench/dispatch.py
@@ -17,7 +17,7 @@
 from ..core.resource import Resources
 from ..dispatch import makeroom, planning
 from ..dispatch.fleet import Fleet, Run, RunPhase, book_run, observe_first_answer, put_vm
-from ..dispatch.interface import Configuration, ListedVm, TaskName
+from ..dispatch.interface import Configuration, ListedVm, LogLimits, TaskName
 from ..dispatch.work import StepWork, open_due_occurrences, open_job
 from ..jobs.data import (
     AdviceTimes,
@@ -30,6 +30,7 @@
     StepProgress,
     StepSpec,
 )
+from ..jobs.progressparts import ProgressPart, encode_parts
 from ..jobs.progressrecord import encode_progress
 
 VMS = 176
@@ -41,6 +42,8 @@
 TICK_INTERVAL_S = 0.02
 CASES = ((30, 0.5), (300, 0.97), (600, 0.97))
 STEP_WIDTHS = (2, 25, 100)
+# The tasks of a step and the length of their checkpoints in characters.
+PART_CASES = ((60, 16), (60, 2400), (2000, 16), (2000, 2400), (10_000, 16))
 QUEUES = (
     JobQueue("urgent", "h", "/u/", "s", 0, stretch=1.5, advice=AdviceTimes(0.009, 0.0001, 2.5)),
     JobQueue("wide", "h", "/w/", "s", 1, stretch=2.2, advice=AdviceTimes(0.54, 0.008, 2.5)),
@@ -121,9 +124,36 @@
     return len(zlib.decompress(value[1:])), len(value)
 
 
+def measure_parts(width: int, checkpoint_length: int) -> list[tuple[float, int, int]]:
+    """Returns the cost of recording a step of which every task has a checkpoint and a run.
+
+    For the first time and after one more start: the CPU time in milliseconds, the number of
+    records and their bytes.
+    """
+    generator = random.Random(width)
+    runs = [
+        RunRecord(n, n + 1, f"i-{n * 987_654_321:010x}", 1_786_878_362_975) for n in range(width)
+    ]
+    checkpoints = {n: generator.randbytes(checkpoint_length // 2).hex() for n in range(width)}
+    step_progress = StepProgress(width, runs=runs, checkpoints=checkpoints)
+    progress, parts, found = (
+        Progress(JobState.RUNNING, {(0, 0): step_progress}),
+        [ProgressPart()],
+        [],
+    )
+    for number in (width, width + 1):
+        step_progress.last_run = number
+        step_progress.runs[-1] = RunRecord(width - 1, number, "i-0", 1)
+        started_cpu_s = time.process_time()
+        records = encode_parts("a" * 16, progress, parts, LogLimits().record_bytes, 0)
+        elapsed_ms = (time.process_time() - started_cpu_s) * 1000
+        found.append((elapsed_ms, len(records), sum(record.size for record in records)))
+    return found
+
+
 @app.default
 def measure():
-    """Prints the cost of a tick by the length of its backlog, and the size of progress records."""
+    """Prints the cost of a tick by the length of its backlog, and that of progress records."""
     print(f"mean CPU time of a tick over {VMS} VMs, in ms")
     for backlog, fill_fraction in CASES:
         bounded_ms = time_tick(backlog, fill_fraction)
@@ -140,6 +170,13 @@
     for width in STEP_WIDTHS:
         plain, packed = measure_record_bytes(width)
         print(f"progress of {width} tasks: {plain} bytes, compressed {packed}")
+    for width, checkpoint_length in PART_CASES:
+        first, later = measure_parts(width, checkpoint_length)
+        print(
+            f"{width} tasks with checkpoints of {checkpoint_length}: first {first[0]:.1f} ms,"
+            f" {first[1]} records, {first[2]} bytes; one start more {later[0]:.1f} ms,"
+            f" {later[1]} records, {later[2]} bytes"
+        )
 
 
 if __name__ == "__main__":
--- a/caroblead/jobs/progressparts.py
+++ b/caroblead/jobs/progressparts.py
@@ -12,6 +12,7 @@
 stored by one append. Only the parts that have changed are written again.
 """
 
+import math
 from bisect import bisect_left, bisect_right
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
@@ -35,6 +36,8 @@
 MAX_PART_BYTES = 65_536
 # The rows of a part before they are compressed; identical checkpoints compress to next to nothing.
 MAX_PLAIN_BYTES = 4 * 1024 * 1024
+# A part that is divided leaves its pieces some room to grow.
+FILL_FRACTION = 0.7
 
 
 class TaskPlace(NamedTuple):
@@ -126,44 +129,39 @@
 
     def encode(self, part: ProgressPart, steps: Steps) -> list[ProgressPart]:
         """Encodes a part, and returns the parts into which it was divided, or itself alone."""
-        rows = self._make_rows(part, steps)
+        rows = _make_rows(part, steps, self.state, self.is_divided)
         if self.is_divided and rows == part.written:
             return [part]
-        record = self._encode_rows(part, rows)
-        if record is None:
-            middle = _find_middle(steps)
-            if middle is not None:
-                return self._divide(part, steps, middle)
+        text = orjson.dumps(rows)
+        record = self._make_record(part, text) if len(text) <= MAX_PLAIN_BYTES else None
+        if record is None or record.size > self.max_bytes:
+            pieces = math.ceil(len(text) / MAX_PLAIN_BYTES)
+            if record is not None:
+                pieces = math.ceil(record.size / (FILL_FRACTION * self.max_bytes))
+            starts = _find_starts(steps, max(2, pieces))
+            if starts:
+                return self._divide(part, steps, starts)
             record = self._encode_without_checkpoints(part, steps)
         self.records.append(record)
         part.written = rows if self.is_divided else None
         part.last_runs = {place: item.last_run for place, item in steps.items()}
         return [part]
 
-    def _divide(self, part: ProgressPart, steps: Steps, middle: TaskPlace) -> list[ProgressPart]:
+    def _divide(
+        self, part: ProgressPart, steps: Steps, starts: list[TaskPlace]
+    ) -> list[ProgressPart]:
+        """Divides a part into pieces, each but the first beginning at one of ``starts``."""
         self.is_divided = True
-        log("job:progress_divided", job=self.job_id, at=str(middle))
+        log("job:progress_divided", job=self.job_id, at=list(map(str, starts)))
         last_runs = {place: item.last_run for place, item in steps.items()}
-        halves = ProgressPart(part.start, last_runs), ProgressPart(middle, dict(last_runs))
-        first_steps, second_steps = _slice_steps(steps, halves)
-        # The second half takes effect before the first one ends where it begins.
-        second = self.encode(halves[1], second_steps)
-        return [*self.encode(halves[0], first_steps), *second]
-
-    def _make_rows(self, part: ProgressPart, steps: Steps) -> list:
-        rows = [encode_row(place, item) for place, item in steps.items()]
-        if self.is_divided and part.start == FIRST_PLACE:
-            # The state is in the first part only, and written with it.
-            return [[DIVIDED, str(self.state)], *rows]
-        return rows
-
-    def _encode_rows(self, part: ProgressPart, rows: list) -> KeyedRecord | None:
-        """Returns the record of a part, or ``None`` if it is too large."""
-        text = orjson.dumps(rows)
-        if len(text) > MAX_PLAIN_BYTES:
-            return None
-        record = self._make_record(part, text)
-        return record if record.size <= self.max_bytes else None
+        pieces = [ProgressPart(start, dict(last_runs)) for start in (part.start, *starts)]
+        found: list[ProgressPart] = []
+        # A later piece takes effect before the earlier one ends where it begins.
+        for piece, piece_steps in reversed(
+            list(zip(pieces, _slice_steps(steps, pieces), strict=True))
+        ):
+            found = [*self.encode(piece, piece_steps), *found]
+        return found
 
     def _make_record(self, part: ProgressPart, text: bytes) -> KeyedRecord:
         value = encode_state(self.state) + compress(text)
@@ -173,15 +171,30 @@
         """Returns the record of a single task whose checkpoint doesn't fit into any record."""
         log("job:checkpoint_left_out", job=self.job_id, task=str(part.start))
         bare = {place: replace(item, checkpoints={}) for place, item in steps.items()}
-        return self._make_record(part, orjson.dumps(self._make_rows(part, bare)))
+        return self._make_record(
+            part, orjson.dumps(_make_rows(part, bare, self.state, self.is_divided))
+        )
+
 
+def _make_rows(part: ProgressPart, steps: Steps, state: JobState, is_divided: bool) -> list:
+    """Returns what the record of a part holds."""
+    rows = [encode_row(place, item) for place, item in steps.items()]
+    if is_divided and part.start == FIRST_PLACE:
+        # The state is in the first part only, and written with it.
+        return [[DIVIDED, str(state)], *rows]
+    return rows
 
-def _find_middle(steps: Steps) -> TaskPlace | None:
-    """Returns the task with which the second half of a part begins; a single task has none."""
+
+def _find_starts(steps: Steps, pieces: int) -> list[TaskPlace]:
+    """Returns the tasks with which the pieces of a part begin, but for the first piece.
+
+    There are none for a single task.
+    """
     places = sorted(
         TaskPlace(*place, index) for place, item in steps.items() for index in _list_indexes(item)
     )
-    return places[len(places) // 2] if len(places) > 1 else None
+    cuts = {len(places) * number // pieces for number in range(1, pieces)}
+    return [places[cut] for cut in sorted(cuts - {0})]
 
 
 def _list_indexes(item: StepProgress) -> set[int]:
@@ -248,6 +261,8 @@
         for start, steps in zip(starts, written, strict=True)
     ]
     if others:
+        for part, steps in zip(parts, written, strict=True):
+            part.written = _make_rows(part, steps, progress.state, True)
         progress.steps = {}
         for number, steps in enumerate(written):
             for place, piece in _slice_steps(steps, parts)[number].items():
--- a/caroblead/jobs/progressparts_test.py
+++ b/caroblead/jobs/progressparts_test.py
@@ -119,6 +119,7 @@
     steps = {(0, number): make_step(number) for number in range(3)}
     log.store(encode_parts("a", Progress(JobState.RUNNING, steps), parts, MAX_BYTES, 1.0))
     found, found_parts = log.read()
+    assert encode_parts("a", found, found_parts, MAX_BYTES, 2.0) == []
     found.steps[0, 2].done |= set(range(TASKS))
     log.store(encode_parts("a", found, found_parts, MAX_BYTES, 2.0))
     again, _ = log.read()
