--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -152,7 +152,7 @@
                 entries += _decode_items(items)
                 if not page.get("hasMore") or not items:
                     break
-                after = _get_next_key(items[-1], after)
+                after = _find_last_key(items, after)
             except ValueError as error:
                 raise LogError(f"log-newest returned a malformed page: {error}", False) from None
         entries.sort()
@@ -196,12 +196,20 @@
     return entries
 
 
-def _get_next_key(item: object, before: str | None) -> str:
-    """Returns the key after which the next page begins, the last one of this page."""
-    key = read_text(check_object(item, "item"), "key")
-    if key == before:
-        raise ValueError("key: the page does not go on from the one before")
-    return key
+def _find_last_key(items: list, before: str | None) -> str:
+    """Returns the last key of a page, after which the next page begins.
+
+    An odd entry is passed over, as if the page ended before it. Raises ``ValueError`` if no key is
+    left with which the pages go on.
+    """
+    for item in reversed(items):
+        try:
+            key = read_text(check_object(item, "item"), "key")
+        except ValueError:
+            continue
+        if key != before:
+            return key
+    raise ValueError("key: the page does not go on from the one before")
 
 
 def _frame_record(record: KeyedRecord) -> bytes:
--- a/caroblead/platform/log_test.py
+++ b/caroblead/platform/log_test.py
@@ -99,6 +99,17 @@
     assert batch.next_offset == 3
 
 
+# A page whose last entry was odd ended every read, so that no node could start.
+@pytest.mark.parametrize("odd", [{"value": "MQ=="}, {"key": 5}, "x", None])
+def test_odd_last_entry_of_a_page_hides_none_of_the_next_pages(odd):
+    pages = FakePages(
+        {"items": [make_item("a"), make_item("b"), odd], "hasMore": True, "endOffset": 3},
+        {"items": [odd, make_item("c", offset=1)], "hasMore": False, "endOffset": 3},
+    )
+    batch = asyncio.run(PlatformLog(pages, "127.0.0.1:1", "keyed.t").read_newest())
+    assert sorted(record.key for record in batch.records) == ["a", "b", "c"]
+
+
 # How long after a cut a node that reaches the store must know all that the log has.
 CONTACT_S = 3.0
 
