--- a/caroblead/standin/limits_test.py
+++ b/caroblead/standin/limits_test.py
@@ -12,7 +12,14 @@
 from ..platform.log import PlatformLog
 from .cluster import make_listed_vm
 from .keyedlog import MemoryTopic
-from .limits import MAX_ENDS_PER_ANSWER, MAX_TOPICS, READS_PER_S, CallRate
+from .limits import (
+    MAX_ENDS_PER_ANSWER,
+    MAX_TOPICS,
+    MAX_WAITING_QUESTIONS,
+    READS_PER_S,
+    CallRate,
+    Partition,
+)
 from .platform import HttpPlatform
 from .vmsimulator import TaskBehavior, VmSimulator
 
@@ -83,13 +90,38 @@
 
 
 def test_calls_beyond_the_rate_of_the_store_are_turned_away():
-    rate = CallRate({"log_read": READS_PER_S})
-    assert all(rate.admit("log_read", 1.0) for _ in range(READS_PER_S))
+    rate = CallRate()
+    assert all(rate.admit("log_read", 1.0) for _ in range(READS_PER_S - 1))
+    assert rate.admit("log_newest", 1.5)
     assert not rate.admit("log_read", 1.9)
-    assert rate.admit("log_append", 1.9)
+    assert rate.admit("log_append", 1.9) and rate.admit("hold", 1.9)
     assert rate.admit("log_read", 2.0)
 
 
+def test_append_that_would_wait_too_long_at_its_partition_is_turned_away():
+    partition = Partition()
+    assert partition.enqueue(2_000_000, 1.0) == pytest.approx(0.102)
+    for _ in range(19):
+        assert partition.enqueue(2_000_000, 1.0) is not None
+    assert partition.enqueue(100, 1.0) is None
+    assert partition.enqueue(100, 1.1) is not None
+
+
+def test_advice_service_turns_away_calls_beyond_those_that_may_wait():
+    async def scenario(server, log, http):
+        server.advice_s = 0.005
+        url = f"http://{server.address}/api/advise"
+        http = HttpClient(connections_per_host=64)
+        message = {"stepId": "a.0.0", "workers": []}
+        calls = [http.post(url, message, 5.0) for _ in range(MAX_WAITING_QUESTIONS + 10)]
+        statuses = [reply.status for reply in await asyncio.gather(*calls)]
+        assert statuses.count(200) == MAX_WAITING_QUESTIONS + 1
+        assert statuses.count(429) == 9
+        await http.close()
+
+    run_with_platform(scenario)
+
+
 def test_vm_lists_its_ends_a_limited_number_at_a_time():
     async def main():
         simulator = VmSimulator(lambda task, number: TaskBehavior(0.01, Resources(1)))
--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -3,8 +3,10 @@
 It serves the platform's published protocol from the in-memory store and VMs of this package.
 """
 
+import asyncio
 import base64
 import struct
+from collections import defaultdict
 
 import orjson
 from aiohttp import web
@@ -33,9 +35,9 @@
     MAX_READ_WAIT_MS,
     MAX_TOPICS,
     MAX_VMS_PER_QUESTION,
-    READS_PER_S,
-    WRITES_PER_S,
+    MAX_WAITING_QUESTIONS,
     CallRate,
+    Partition,
 )
 from .vmsimulator import SimulatedVm, VmSimulator
 
@@ -54,7 +56,8 @@
     All VMs share its address; the header ``Expect-Instance`` names the VM that a call is meant for.
     ``advice`` maps the VMs that the advice service allows to their tickets. A ``status`` other than
     200 is the response to every call, which then has no effect. The topics have ``limits``, and a
-    page of newest records has ``keys_per_page`` at most.
+    page of newest records has ``keys_per_page`` at most. The advice service answers one call at a
+    time, in ``advice_s``.
     """
 
     def __init__(self, vm_simulator: VmSimulator | None = None, limits: LogLimits = LogLimits()):
@@ -64,7 +67,11 @@
         self.advice: dict[str, str] = {}
         self.status = 200
         self.keys_per_page = MAX_KEYS_PER_PAGE
-        self.rate = CallRate({"log_append": WRITES_PER_S, "log_read": READS_PER_S})
+        self.rate = CallRate()
+        self.partitions: defaultdict[str, Partition] = defaultdict(Partition)
+        self.advice_s = 0.0
+        self.advice_lock = asyncio.Lock()
+        self.open_questions = 0
         self.runner = web.ServerRunner(web.Server(self._serve))
         self.address = ""
 
@@ -107,12 +114,16 @@
         topic, fence = self._get_topic(request), None
         if "epoch" in request.query:
             fence = Fence(int(request.query["epoch"]), int(request.query["sequence"]))
-        records = []
+        size, records = len(body), []
         while body:
             (size,) = struct.unpack_from(">I", body)
             record, body = body[4 : 4 + size], body[4 + size :]
             end = 1 + record[0]
             records.append(KeyedRecord(record[1:end].decode(), record[end:]))
+        delay_s = self.partitions[request.query["topic"]].enqueue(size, get_elapsed_s())
+        if delay_s is None:
+            return web.Response(status=503)
+        await asyncio.sleep(delay_s)
         try:
             offset = topic.append(records, fence)
         except FencedError as error:
@@ -222,6 +233,14 @@
     async def _answer_advise(self, request, body: bytes) -> web.Response:
         workers = orjson.loads(body)["workers"]
         _check(len(workers) <= MAX_VMS_PER_QUESTION, "workers")
+        if self.open_questions > MAX_WAITING_QUESTIONS:
+            return web.Response(status=429)
+        self.open_questions += 1
+        try:
+            async with self.advice_lock:
+                await asyncio.sleep(self.advice_s)
+        finally:
+            self.open_questions -= 1
         allowed = [[name, self.advice[name]] for name in workers if name in self.advice]
         return _encode_response(200, {"allowed": allowed, "validityMs": 1500})
 
