--- a/caroblead/dispatch/begun.py
+++ b/caroblead/dispatch/begun.py
@@ -8,6 +8,7 @@
 from ..jobs.data import JobState
 from .fleet import Run
 from .term import TermState
+from .work import INVALID_BACKOFF_S
 
 BEGUN_INTERVAL_S = 0.25
 
@@ -15,7 +16,10 @@
 def note_begun(state: TermState, run: Run):
     """Notes that a run has started on its VM."""
     work = state.open_jobs.get(run.task.job)
-    if work is not None and work.state is JobState.QUEUED:
+    if work is None:
+        return
+    work.invalid_backoff_s = INVALID_BACKOFF_S
+    if work.state is JobState.QUEUED:
         work.state = JobState.RUNNING
         state.begun_jobs.append(work)
 
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -45,11 +45,9 @@
 from .term import LeaderDependencies, TermState
 from .tick import run_ticks
 from .watch import Watch
-from .work import JobWork, StepWork, count_required_runs, open_job
+from .work import JobWork, StepWork, back_off, count_required_runs, open_job
 
 SWEEP_INTERVAL_S = 0.1
-# No task of a job is started for this long after a VM rejected an order as invalid.
-INVALID_BACKOFF_S = 1.0
 
 
 class Leader:
@@ -361,7 +359,7 @@
             if reason is StartRefusal.NO_TICKET:
                 step.advice.tickets.clear()
             elif reason is StartRefusal.INVALID:
-                step.work.ready_s = get_elapsed_s() + INVALID_BACKOFF_S
+                back_off(step.work, get_elapsed_s())
         self.on_gone(run, f"refused: {reason}")
 
     # Periodic work.
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -17,6 +17,10 @@
 # How long a VM gets no new tasks after it refused a start for a reason that lies in the VM.
 AVOID_S = {StartRefusal.UNHEALTHY: 2.0, StartRefusal.NO_ROOM: 1.0}
 DEFAULT_AVOID_S = 0.5
+# The reasons that lie in the order or its task: the VM goes on to get the tasks of other jobs.
+REFUSALS_DUE_TO_THE_TASK = frozenset(
+    {StartRefusal.NO_TICKET, StartRefusal.SUPERSEDED, StartRefusal.INVALID}
+)
 
 
 class OrderSender:
@@ -121,7 +125,7 @@
                 run.phase = RunPhase.UNSURE
                 self.reports.on_fenced(row.name)
                 return
-            if outcome.reason not in (StartRefusal.NO_TICKET, StartRefusal.SUPERSEDED):
+            if outcome.reason not in REFUSALS_DUE_TO_THE_TASK:
                 avoid_s = AVOID_S.get(outcome.reason, DEFAULT_AVOID_S)
                 row.avoid_until_s = run.order_answered_s + avoid_s
             self.reports.on_refused(run, outcome.reason)
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -9,6 +9,11 @@
 from .fleet import Run
 from .interface import TaskName
 
+# No task of a job starts for so long after a VM rejected an order of it as invalid, and twice as
+# long each further time, up to the maximum: the next VM will very probably reject it too.
+INVALID_BACKOFF_S = 1.0
+MAX_INVALID_BACKOFF_S = 8.0
+
 
 @dataclass(slots=True)
 class StepAdvice:
@@ -90,7 +95,8 @@
 
     ``due_s`` is when it should be done, which is ``target_s`` after it was accepted. No task of it
     starts before ``ready_s``. A ``surplus`` job was submitted beyond its team's share. ``parts``
-    are the parts in which its progress is recorded; no task starts once it isn't recordable.
+    are the parts in which its progress is recorded; no task starts once it isn't recordable. None
+    starts for ``invalid_backoff_s`` after a VM rejected an order of it as invalid.
     """
 
     job: Job
@@ -103,6 +109,7 @@
     surplus: bool = False
     parts: list[ProgressPart] = field(default_factory=lambda: [ProgressPart()])
     is_recordable: bool = True
+    invalid_backoff_s: float = INVALID_BACKOFF_S
 
 
 def open_job(job: Job, progress: Progress, parts: list[ProgressPart] | None = None) -> JobWork:
@@ -121,6 +128,13 @@
     return work
 
 
+def back_off(work: JobWork, now_s: float):
+    """Starts no task of a job for a while, after one or many of its orders were invalid."""
+    if now_s >= work.ready_s:
+        work.ready_s = now_s + work.invalid_backoff_s
+        work.invalid_backoff_s = min(MAX_INVALID_BACKOFF_S, 2 * work.invalid_backoff_s)
+
+
 def compute_target_s(job: Job) -> float:
     """Returns how long after its acceptance a job should be done, in seconds.
 
