--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -122,7 +122,7 @@
         """Remembers that a peer may have stored a job, or may still do so."""
         self.appender.unsettled.note(make_key(RecordKind.JOB, job_id))
 
-    def doubt(self, is_question: bool) -> Rejected | InDoubt:
+    def answer_unsettled(self, is_question: bool) -> Rejected | InDoubt:
         """Returns the answer to a call for a job that may still be stored."""
         detail = "the job log may still store the job"
         if is_question:
@@ -238,7 +238,7 @@
             return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
         if job_id in self.get_ledger().cancelled:
             return JobState.CANCELLED
-        return self.doubt(is_question=True)
+        return self.answer_unsettled(is_question=True)
 
     async def cancel(
         self, job_id: str, budget_s: float, team: str = ""
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -163,7 +163,7 @@
         if not handler.is_unsettled(job_id):
             return outcome
         log("job:denial_withheld", method=request.method, job=job_id)
-        return handler.doubt(request.method == "GET")
+        return handler.answer_unsettled(is_question=request.method == "GET")
 
     async def _execute(self, request: web.BaseRequest, admission: Admission, deadline_s: float):
         """Returns the outcome of an admitted call, or the response to one that is malformed."""
