A decision waits only for what was decided before it

Since appends are cut by bytes, more may be decided during one than it holds, and callbacks ran only when nothing at all was left to record: under steady load of wide jobs no start would ever have been sent. The queue is first in, first out now; each callback waits for the entries before it, and progress that was refused keeps its place. The test in commit_test.py fails before (no callback in 5 s); 133 tests of the commit queue, the leader, rejections and the trials pass.

rejectionload_test.py counted a list that is gone; it counts the same records in the queue.

--- a/caroblead/dispatch/commit.py
+++ b/caroblead/dispatch/commit.py
@@ -13,6 +13,8 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from itertools import islice
 
 from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.logsink import log
@@ -30,25 +32,41 @@
 BATCH_DELAY_S = 0.01
 APPEND_TIMEOUT_S = 1.5
 RETRY_S = 0.05
-MAX_JOBS_PER_APPEND = 300
+MAX_ENTRIES_PER_APPEND = 300
 # Progress isn't divided into smaller records than this when the log refuses it.
 MIN_RECORD_BYTES = 1024
 
 
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A job whose progress is to be recorded, or another record, by the order of its first mark."""
+
+    serial: int
+    item: JobWork | KeyedRecord
+
+
 @dataclass(slots=True, frozen=True)
 class QueuedRecord:
-    """A record to append; ``work`` is the job whose progress it is part of, if any."""
+    """An encoded record of an entry."""
 
     record: KeyedRecord
-    work: JobWork | None = None
+    entry: Entry
+
+
+@dataclass(slots=True, frozen=True)
+class Waiter:
+    """A callback for the time when all entries up to a serial are stored."""
+
+    serial: int
+    callback: Callable
 
 
 class CommitQueue:
-    """The leader's queue of records to append to the log.
+    """The leader's queue of records to append to the log, first in, first out.
 
-    ``backlog`` holds encoded records that did not fit into an append yet, and ``record_bytes`` is
-    the size that no record of progress exceeds. ``redo`` tells that the log refused progress of the
-    last append, which is to be recorded again.
+    ``entries`` holds what is to be encoded, by job id or by record key, and ``backlog`` the encoded
+    records that did not fit into an append yet. ``record_bytes`` is the size that no record of
+    progress exceeds.
     """
 
     def __init__(
@@ -59,13 +77,12 @@
         self.sequence = 0
         self.term_confirmed_s = term_confirmed_s
         self.lose_term = lose_term
-        self.dirty_jobs: dict[str, JobWork] = {}
-        self.extra_records: list[KeyedRecord] = []
+        self.entries: dict[str, Entry] = {}
+        self.last_serial = 0
         self.backlog: deque[QueuedRecord] = deque()
+        self.waiters: deque[Waiter] = deque()
         self.record_bytes = keyed_log.limits.record_bytes
         self.refused = 0
-        self.redo = False
-        self.callbacks: list[Callable] = []
         self.wake = asyncio.Event()
         # The first append shows the other nodes at once that the new leader is at work.
         self.wake.set()
@@ -78,25 +95,34 @@
 
     def mark_dirty(self, work: JobWork, callback: Callable | None = None):
         """Records the progress of a job with the next append and calls back once it is stored."""
-        self.dirty_jobs[work.job.id] = work
+        self._enqueue(work.job.id, work)
         if callback is not None:
-            self.callbacks.append(callback)
-        self.wake.set()
+            self.waiters.append(Waiter(self.last_serial, callback))
 
     def add(self, record: KeyedRecord):
         """Adds a record to the next append; one that the log won't accept is left out."""
         if record.size > self.log.limits.record_bytes:
             self._note_refused(record, "the record is too large")
             return
-        self.extra_records.append(record)
+        self._enqueue(record.key, record)
+
+    def _enqueue(self, key: str, item: JobWork | KeyedRecord):
+        """Adds an entry, or gives the one with the same key what is to be recorded now."""
+        known = self.entries.get(key)
+        if known is None:
+            self.last_serial += 1
+        self.entries[key] = Entry(known.serial if known else self.last_serial, item)
         self.wake.set()
 
+    def _is_empty(self) -> bool:
+        return not (self.backlog or self.entries)
+
     async def wait_flushed(self):
         """Waits until everything marked so far is stored in the log."""
-        if self.append_started_s is None and not self.callbacks and self._is_empty():
+        if self.append_started_s is None and self._is_empty():
             return
         done = asyncio.get_running_loop().create_future()
-        self.callbacks.append(lambda: done.done() or done.set_result(None))
+        self.waiters.append(Waiter(self.last_serial, partial(_set_done, done)))
         self.wake.set()
         await done
 
@@ -113,70 +139,61 @@
                 await asyncio.sleep(BATCH_DELAY_S)
             self.wake.clear()
             batch = self._take_batch()
-            callbacks = self._take_callbacks()
             self.append_started_s = get_elapsed_s()
             if not await self._append(batch):
                 return
             self.append_started_s = None
-            if self.redo:
-                self.redo = False
-                self.callbacks[:0] = callbacks
-                continue
-            for callback in callbacks:
-                call_and_log_errors(callback)
-
-    def _is_empty(self) -> bool:
-        return not (self.backlog or self.dirty_jobs or self.extra_records)
+            self._call_waiters()
 
     def _take_batch(self) -> list[QueuedRecord]:
         """Returns the records of the next append: as many as it may hold, or a heartbeat."""
-        now_s, job_count = get_wall_s(), 0
+        now_s, entry_count = get_wall_s(), 0
         batch, size = [], 0
-        while not self._is_empty():
+        while not self._is_empty() and entry_count <= MAX_ENTRIES_PER_APPEND:
             if not self.backlog:
-                if job_count >= MAX_JOBS_PER_APPEND and self.dirty_jobs:
-                    break
-                job_count += 1
                 self._encode_next(now_s)
+                entry_count += 1
                 continue
             size += self.backlog[0].record.size
             if batch and size > self.log.limits.call_bytes:
                 break
             batch.append(self.backlog.popleft())
-        return batch or [QueuedRecord(self._make_heartbeat())]
-
-    def _take_callbacks(self) -> list[Callable]:
-        """Returns the callbacks if everything marked so far is in the batch that was taken."""
         if not self._is_empty():
             self.wake.set()
-            return []
-        callbacks, self.callbacks = self.callbacks, []
-        return callbacks
+        return batch or [self._make_heartbeat()]
+
+    def _call_waiters(self):
+        """Calls back those who wait for nothing that is still to be stored."""
+        left = [queued.entry for queued in islice(self.backlog, 1)]
+        left += islice(self.entries.values(), 1)
+        first_serial = min((entry.serial for entry in left), default=self.last_serial + 1)
+        while self.waiters and self.waiters[0].serial < first_serial:
+            call_and_log_errors(self.waiters.popleft().callback)
 
     def _encode_next(self, now_s: float):
-        """Encodes the job that has waited longest, or after all jobs the other records."""
-        if not self.dirty_jobs:
-            self.backlog.extend(map(QueuedRecord, self.extra_records))
-            self.extra_records = []
+        """Encodes the entry that has waited longest."""
+        entry = self.entries.pop(next(iter(self.entries)))
+        if isinstance(entry.item, KeyedRecord):
+            self.backlog.append(QueuedRecord(entry.item, entry))
             return
-        work = self.dirty_jobs.pop(next(iter(self.dirty_jobs)))
-        if not work.is_recordable:
+        if not entry.item.is_recordable:
             return
         try:
-            records = _make_progress_records(work, self.record_bytes, now_s)
+            records = _make_progress_records(entry.item, self.record_bytes, now_s)
         except Exception as error:
             # Nothing that is wrong with one job may end the records of the others.
-            self._set_aside(work, f"{type(error).__name__}: {error}")
+            self._set_aside(entry.item, f"{type(error).__name__}: {error}")
             return
-        self.backlog.extend(QueuedRecord(record, work) for record in records)
+        self.backlog.extend(QueuedRecord(record, entry) for record in records)
 
     def _set_aside(self, work: JobWork, detail: str):
         """Ends the records of a job, none of whose tasks starts from now on."""
         work.is_recordable = False
         log("job:not_recordable", job=work.job.id, detail=detail)
 
-    def _make_heartbeat(self) -> KeyedRecord:
-        return KeyedRecord(make_key(RecordKind.HEARTBEAT, HEARTBEAT_NAME), b"%d" % self.term)
+    def _make_heartbeat(self) -> QueuedRecord:
+        record = KeyedRecord(make_key(RecordKind.HEARTBEAT, HEARTBEAT_NAME), b"%d" % self.term)
+        return QueuedRecord(record, Entry(0, record))
 
     async def _append(self, batch: list[QueuedRecord], unanswered: bool = False) -> bool:
         """Appends records; returns false if the term has ended.
@@ -233,24 +250,31 @@
     def _leave_out(self, item: QueuedRecord, detail: str):
         """Leaves out a refused record; the progress of a job is recorded again in smaller ones."""
         self._note_refused(item.record, detail)
-        work = item.work
-        if work is None:
+        work = item.entry.item
+        if isinstance(work, KeyedRecord):
             return
         smaller = item.record.size // 2
         if smaller < MIN_RECORD_BYTES:
             self._set_aside(work, detail)
             return
         self.record_bytes = min(self.record_bytes, smaller)
-        self.redo = True
         for part in work.parts:
             part.written = None
-        self.mark_dirty(work)
+        # Whoever waits for this entry goes on waiting.
+        self.entries.pop(work.job.id, None)
+        self.entries = {work.job.id: Entry(item.entry.serial, work), **self.entries}
+        self.wake.set()
 
     def _note_refused(self, record: KeyedRecord, detail: str):
         self.refused += 1
         log("leader:record_refused", key=record.key, size=record.size, error=detail)
 
 
+def _set_done(done: asyncio.Future):
+    if not done.done():
+        done.set_result(None)
+
+
 def _make_progress_records(work: JobWork, max_bytes: int, now_s: float) -> list[KeyedRecord]:
     job_id = work.job.id
     records = encode_parts(job_id, snapshot_progress(work), work.parts, max_bytes, now_s)
--- a/caroblead/dispatch/commit_test.py
+++ b/caroblead/dispatch/commit_test.py
@@ -81,7 +81,7 @@
         commit.mark_dirty(make_work())
         caller_faults.lost_answers = 1
         await asyncio.sleep(0.1)
-        assert commit.append_started_s is not None and not commit.dirty_jobs
+        assert commit.append_started_s is not None and not commit.entries
         waiting = asyncio.create_task(commit.wait_flushed())
         await asyncio.sleep(0.1)
         assert not waiting.done()
@@ -134,6 +134,31 @@
     play(scenario, LogLimits(500, 500))
 
 
+def test_decision_waits_for_no_later_one_while_more_is_decided_than_an_append_holds():
+    async def scenario(commit, topic, caller_faults, lost):
+        works, waited_s = [make_work(f"{number:016x}") for number in range(40)], []
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 5
+
+        async def decide():
+            while loop.time() < end_s:
+                for work in works:
+                    commit.mark_dirty(work)
+                await asyncio.sleep(0.01)
+
+        deciding = asyncio.create_task(decide())
+        for _ in range(20):
+            began_s = loop.time()
+            commit.mark_dirty(
+                works[0], lambda began_s=began_s: waited_s.append(loop.time() - began_s)
+            )
+            await asyncio.sleep(0.2)
+        await deciding
+        assert len(waited_s) == 20 and max(waited_s) < 1.0
+
+    play(scenario, LogLimits(500, 500))
+
+
 def test_record_that_is_no_progress_and_too_large_is_left_out_alone():
     async def scenario(commit, topic, caller_faults, lost):
         commit.add(KeyedRecord("d/queues", b"x" * 500))
--- a/caroblead/node/rejectionload_test.py
+++ b/caroblead/node/rejectionload_test.py
@@ -132,6 +132,11 @@
     judge(run_scenario(scenario))
 
 
+def count_waiting_records(leader):
+    entries = leader.commit.entries.values()
+    return sum(isinstance(entry.item, KeyedRecord) for entry in entries)
+
+
 def test_leader_whose_log_is_slow_or_silent_under_load_publishes_no_pile_of_reports():
     """Reports that waited for the log would be old when they are read."""
 
@@ -140,9 +145,9 @@
         leader = site.nodes[find_leader(site)].leader
         site.faults_by_node[find_leader(site)].silent = True
         await asyncio.sleep(0.5)
-        count = len(leader.commit.extra_records)
+        count = count_waiting_records(leader)
         await asyncio.sleep(3)
-        assert len(leader.commit.extra_records) <= count + 1
+        assert count_waiting_records(leader) <= count + 1
         for faults in site.faults_by_node.values():
             faults.silent = False
         await overload.stop()
