A job in doubt is shown as cancelled only to the team that cancelled it

Another team's cancellation doesn't keep the job from running, so its caller was told something untrue. Found by reading the diff; the last line of the test fails before.

--- a/caroblead/node/requesthandler.py
+++ b/caroblead/node/requesthandler.py
@@ -195,15 +195,15 @@
             configuration_age_s=round(self.access.tail.get_age_s(), 3),
         )
 
-    async def show(self, job_id: str) -> Shown | Rejected:
-        """Returns the state of a job."""
+    async def show(self, job_id: str, team: str = "") -> Shown | Rejected:
+        """Returns the state of a job to a caller of ``team``."""
         state = find_state(self.get_ledger(), job_id)
         if state is not None and state not in FINAL_STATES:
             state = await self._get_newest_state(job_id)
         if state is None:
             state = await self._look_up(job_id)
         if state is None:
-            state = self._show_unknown(job_id)
+            state = self._show_unknown(job_id, team)
         if isinstance(state, Rejected):
             return state
         log_routine(
@@ -231,12 +231,16 @@
         """Returns whether an answer that may be :data:`MAX_ANSWER_AGE_S` old can be given."""
         return self.ledger_tail.get_age_s() <= MAX_ANSWER_AGE_S or await self._catch_up()
 
-    def _show_unknown(self, job_id: str) -> JobState | Rejected:
-        """Returns what is shown of a job that isn't in the log."""
+    def _show_unknown(self, job_id: str, team: str) -> JobState | Rejected:
+        """Returns what is shown of a job that isn't in the log.
+
+        If it may still be stored, only its own team's cancellation makes sure that it never runs.
+        """
         if not self.is_unsettled(job_id):
             log("job:unknown", job=job_id)
             return self._reject(Reason.NO_SUCH_JOB, Step.ROUTE, "there is no such job")
-        if job_id in self.get_ledger().cancelled:
+        cancellation = self.get_ledger().cancelled.get(job_id)
+        if cancellation is not None and cancellation.team == team:
             return JobState.CANCELLED
         return self.answer_unsettled(is_question=True)
 
--- a/caroblead/node/unsettled_test.py
+++ b/caroblead/node/unsettled_test.py
@@ -94,7 +94,9 @@
         assert answer.fault.retry_after_s > 0
         await handler.cancel(JOB, 3.0, "north")
         await asyncio.sleep(0.5)
-        assert await handler.show(JOB) == Shown(JobState.CANCELLED)
+        assert await handler.show(JOB, "north") == Shown(JobState.CANCELLED)
+        # The cancellation of another team would not keep the job from running.
+        assert isinstance(await handler.show(JOB, "south"), Rejected)
         unknown = await handler.show("0" * 16)
         assert unknown.fault.reason is Reason.NO_SUCH_JOB
         return site
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -174,7 +174,7 @@
         if len(job_id) != JOB_ID_LENGTH or not HEX_DIGITS.issuperset(job_id.lower()):
             return _make_error_response(400, "the job id must consist of 16 hexadecimal digits")
         if request.method == "GET":
-            return await handler.show(job_id)
+            return await handler.show(job_id, admission.team)
         if request.method == "DELETE":
             return await handler.cancel(job_id, deadline_s - get_elapsed_s(), admission.team)
         if request.method == "POST":
