--- a/caroblead/dispatch/recordsize_test.py
+++ b/caroblead/dispatch/recordsize_test.py
@@ -20,6 +20,7 @@
     start_site,
     submit,
 )
+from ..standin.keyedlog import MemoryTopic
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
 from .interface import LogLimits, RecordsRefusedError
@@ -100,40 +101,28 @@
     judge(run_scenario(scenario))
 
 
-class PickyTopic:
-    """Refuses what ``is_refused`` says of a record, whatever the limits are, and counts that."""
+def refuse_records(site, monkeypatch, is_refused):
+    """Lets the log refuse records whatever its limits are; returns the list of refused appends."""
+    check_sizes, refused = MemoryTopic.check_sizes, []
 
-    def __init__(self, topic, is_refused):
-        self.topic = topic
-        self.check = topic.check_sizes
-        self.is_refused = is_refused
-        self.refusals = 0
-
-    def check_sizes(self, records):
-        if any(map(self.is_refused, records)):
-            self.refusals += 1
+    def check(topic, records):
+        if topic is site.ledger and any(map(is_refused, records)):
+            refused.append(records)
             raise RecordsRefusedError("refused")
-        self.check(records)
-
+        check_sizes(topic, records)
 
-def make_picky(site, monkeypatch, is_refused):
-    picky = PickyTopic(site.ledger, is_refused)
-    monkeypatch.setattr(
-        type(site.ledger),
-        "check_sizes",
-        lambda topic, records: (picky.check_sizes(records) if topic is site.ledger else None),
-    )
-    return picky
+    monkeypatch.setattr(MemoryTopic, "check_sizes", check)
+    return refused
 
 
 def test_log_that_accepts_less_than_its_settings_say_holds_up_nobody(monkeypatch):
     async def scenario():
         site = await start_site()
-        picky = make_picky(site, monkeypatch, lambda record: record.size > 12_000)
+        refused = refuse_records(site, monkeypatch, lambda record: record.size > 12_000)
         wide = await evict_wide_job(site)
         await asyncio.sleep(25)
         leader = site.nodes[find_leader(site)]
-        assert leader.leader.term == 1 and 0 < picky.refusals < 60
+        assert leader.leader.term == 1 and 0 < len(refused) < 60
         assert find_state(leader.ledger, wide) is JobState.DONE
         return site
 
@@ -147,7 +136,7 @@
     async def scenario():
         site = await start_site()
         bad = f"{next(site.ids) + 1:016x}"
-        picky = make_picky(
+        refused = refuse_records(
             site, monkeypatch, lambda record: record.kind in kinds and bad in record.key
         )
         assert await submit(site, "n0", make_spec(make_step(3), seconds=0.5)) == bad
@@ -156,7 +145,7 @@
         assert list_starts(site, bad) == []
         assert all(list_starts(site, job_id) for job_id in others)
         leader = site.nodes[find_leader(site)]
-        assert leader.leader.term == 1 and picky.refusals < 40
+        assert leader.leader.term == 1 and len(refused) < 40
         assert not any(row.runs for row in leader.leader.fleet.rows.values())
         site.caller_records.accepted.discard(bad)
         return site
