--- a/caroblead/platform/log.py
+++ b/caroblead/platform/log.py
@@ -1,6 +1,7 @@
 """Client of the platform's log store, which retains the newest record of each key."""
 
 import base64
+import math
 import struct
 from urllib.parse import quote
 
@@ -49,8 +50,8 @@
 def _limit_to_link(limits: LogLimits, link_mbps: float) -> LogLimits:
     """Returns the limits with appends that the link transfers in time, if the records allow it."""
     transferred = int(MAX_APPEND_TRANSFER_S * link_mbps * 1e6 / 8 / TRANSFER_FACTOR)
-    call_bytes = max(limits.record_bytes, min(limits.call_bytes, transferred))
-    return LogLimits(limits.record_bytes, call_bytes)
+    record_bytes = min(limits.record_bytes, limits.call_bytes)
+    return LogLimits(record_bytes, max(record_bytes, min(limits.call_bytes, transferred)))
 
 
 class PlatformLog:
@@ -109,7 +110,9 @@
         if batch.records or batch.end_offset <= offset:
             return batch
         # The next record alone is larger than the part that was asked for.
-        return await self._read(offset, 0.0, -(-self.limits.record_bytes // 1024) + MAX_READ_KB)
+        return await self._read(
+            offset, 0.0, MAX_READ_KB + math.ceil(self.limits.record_bytes / 1024)
+        )
 
     async def _read(self, offset: int, wait_s: float, max_kb: int) -> Batch:
         url = (
--- a/caroblead/platform/log_test.py
+++ b/caroblead/platform/log_test.py
@@ -144,6 +144,8 @@
     http = Silent()
     log = PlatformLog(http, "127.0.0.1:1", "keyed.t", link_mbps)
     assert log.limits == LogLimits(262_144, call_bytes)
+    small = PlatformLog(http, "127.0.0.1:1", "keyed.t", link_mbps, LogLimits(2000, 500))
+    assert small.limits == LogLimits(500, 500)
     record = KeyedRecord("a", bytes(262_000))
     with pytest.raises(LogError):
         asyncio.run(log.append([record], None, 0.6))
