--- a/caroblead/dispatch/advice/backlog_test.py
+++ b/caroblead/dispatch/advice/backlog_test.py
@@ -14,6 +14,7 @@
 from ...standin.trial import check_site
 from ...standin.work import make_spec, make_step
 from ..interface import Advice
+from ..tick import count_useless_requests
 
 NODES = 6
 JOBS = 60
@@ -52,3 +53,8 @@
         return site
 
     assert check_site(run_scenario(scenario)) == []
+
+
+def test_backlog_of_late_steps_leaves_most_nodes_of_a_large_site_to_others():
+    counts = [count_useless_requests(nodes) for nodes in (1, 2, 6, 8, 18, 39)]
+    assert counts == [1, 1, 5, 6, 6, 13]
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -49,9 +49,11 @@
 MAX_RECORD_DELAY_S = 0.4
 # The delay before a failed request to the advice service is retried.
 ADVICE_RETRY_S = 0.1
-# So many nodes don't ask about steps that are too late to be of use: one that is still of use may
-# come meanwhile.
-NODES_KEPT_FOR_USEFUL = 1
+# One node in so many may ask about steps that are too late to be of use, but at least some nodes of
+# a small site, which else serves a backlog of them too slowly. One node is kept for a step that is
+# still of use and comes meanwhile.
+NODES_PER_USELESS_REQUEST = 3
+MIN_USELESS_REQUESTS = 6
 # The advice service accepts at most this many VMs in one request.
 MAX_VMS_PER_REQUEST = 100
 
@@ -142,10 +144,16 @@
     shares = _get_shares(state)
     tiers = {step.key: find_tier(step, wall_s, shares) for step in (*needed, *pending)}
     queue = state.dependencies.advice_queue
-    max_useless = max(1, len(queue.advisers) - NODES_KEPT_FOR_USEFUL)
+    max_useless = count_useless_requests(len(queue.advisers))
     return select_requests(needed, pending, tiers, not queue.waiting, max_useless)
 
 
+def count_useless_requests(nodes: int) -> int:
+    """Returns how many requests about steps that are too late may be open at a time."""
+    at_least = max(1, min(nodes - 1, MIN_USELESS_REQUESTS))
+    return max(at_least, nodes // NODES_PER_USELESS_REQUEST)
+
+
 def _note_eviction(state: TermState, run: Run):
     """Remembers that a task has been evicted, so that it isn't evicted again."""
     work = state.open_jobs.get(run.task.job)
