Soak of the site as it is deployed, with a check of what was lost

No soak of ours ran what the users run: the switches of the deploy file and the advice service were off, all nodes shared one address with ports that the kernel also gives away, power never went from nodes and VMs at the same moment, and of LOST only requests that were cut off and jobs that weren't done after 30 s were judged.

The stand-in's advice service now takes one call at a time of each machine, and callers tell which steps save checkpoints.

--- /dev/null
+++ b/caroblead/bench/deployedsite.py
@@ -0,0 +1,257 @@
+"""A site as it is deployed: real node processes with the settings of the deploy file.
+
+Every node, and every VM, has an address of its own in a loopback network that no other run of this
+machine uses, so that all nodes have the same ports, as on machines of their own. The platform
+stand-in runs in this process.
+"""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from ..core.resource import Resources
+from ..dispatch.interface import ListedVm, LogLimits
+from ..jobs.data import AdviceTimes, JobQueue
+from ..jobs.record import KeyedRecord
+from ..platform import configuration, registry
+from ..platform.serve import SETTINGS_VARIABLE
+from ..standin.caller import encode_configuration, encode_vm_entry
+from ..standin.deployedplatform import DeployedPlatform, StoreFault
+from ..standin.lostcheck import Observations
+from ..standin.template import fill_template
+from ..standin.verdict import CallerRecords
+from ..standin.vmsimulator import VmSimulator
+from ..standin.work import make_behavior_lookup
+
+ROOT = Path(__file__).parents[2]
+CALLERS_PORT, READINESS_PORT, PLATFORM_PORT = 8183, 8184, 8182
+INTERNAL_PORTS = (7420, 7435)
+# The zone of each node.
+NODE_ZONES = ("ankara", "ankara", "ankara", "konya", "konya", "kayseri", "kayseri", "eskisehir")
+ZONES = tuple(dict.fromkeys(NODE_ZONES))
+VM_COUNT = 24
+VM_CAPACITY = Resources(16_000, 65_536)
+VMS_PER_RACK = 6
+SERVICE = "planner"
+KEYS = tuple(f"key-of-team-{number}" for number in range(6))
+GRACE_S = 6.0
+# A VM that has been silent for so long loses its entry in the registry.
+ENTRY_EXPIRY_S = 4.5
+QUEUES = {
+    queue.name: queue
+    for queue in (
+        JobQueue(
+            "checks", "a.example", "/c/", SERVICE, 0, 3, 1.5, 0.25,
+            advice=AdviceTimes(0.012, 0.00011, 1.5),
+        ),
+        JobQueue(
+            "recalculations", "a.example", "/p/", SERVICE, 1, 2, 2.2, 1.0,
+            advice=AdviceTimes(0.65, 0.0058, 1.5),
+        ),
+        JobQueue(
+            "reviews", "b.example", "/r/", SERVICE, 2, 2, 4.0, 3.0,
+            advice=AdviceTimes(0.105, 0.00094, 1.5),
+        ),
+    )
+}  # fmt: skip
+ALLOWED_FRACTIONS = {"checks": 0.7, "recalculations": 0.25, "reviews": 0.45}
+
+
+@dataclass(slots=True, eq=False)
+class DeployedSite:
+    """One run: the stand-ins, the processes, and what callers saw.
+
+    ``network`` is the beginning of all addresses, such as ``127.7.9``. ``program`` is the folder of
+    the repository whose program and deploy file run. ``exits`` holds when which node ended, with
+    its status. Nodes that are ``without_power`` aren't started again.
+    """
+
+    seed: int
+    folder: Path
+    program: Path
+    network: str
+    generator: random.Random
+    platform: DeployedPlatform
+    caller_records: CallerRecords
+    observations: Observations = field(default_factory=Observations)
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    exits: list[tuple[float, str, int]] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    without_power: set[str] = field(default_factory=set)
+    stopping: set[str] = field(default_factory=set)
+    version: int = 0
+
+    @property
+    def nodes(self) -> list[str]:
+        """The names of all nodes."""
+        return [f"n{number}" for number in range(len(NODE_ZONES))]
+
+    def get_host(self, node: str) -> str:
+        """Returns the address of a node."""
+        return f"{self.network}.{1 + int(node[1:])}"
+
+    def get_store_host(self, node: str) -> str:
+        """Returns the address at which a node reaches the store and the advice service."""
+        return f"{self.network}.{101 + int(node[1:])}"
+
+    def get_now_s(self) -> float:
+        """Returns the time by which all that is seen is recorded."""
+        return asyncio.get_running_loop().time()
+
+    def find_zone(self, node: str) -> str:
+        """Returns the zone of a node."""
+        return NODE_ZONES[int(node[1:])]
+
+
+def choose_network() -> str:
+    """Returns the beginning of loopback addresses that nothing listens at."""
+    generator = random.Random(os.urandom(8))
+    while True:
+        network = f"127.{generator.randint(2, 254)}.{generator.randint(1, 254)}"
+        try:
+            with socket.create_server((f"{network}.101", PLATFORM_PORT)):
+                return network
+        except OSError:
+            continue
+
+
+def make_values(site: DeployedSite, node: str) -> dict:
+    """Returns the fields from which the platform fills in the template of the settings."""
+    host, store = site.get_host(node), f"{site.get_store_host(node)}:{PLATFORM_PORT}"
+    return {
+        "nodeName": node,
+        "zone": site.find_zone(node),
+        "ip": host,
+        "internalPorts": list(INTERNAL_PORTS),
+        "listen": {
+            "frontend": f"{host}:{CALLERS_PORT}",
+            "readiness": f"{host}:{READINESS_PORT}",
+        },
+        "recommendation": store,
+        "platform": {"address": store, "recordBytes": 262_144, "requestBytes": 2_097_152},
+        "limits": {"cpuShares": 0.537, "cores": 2, "linkMbps": 1000.0},
+        "bounds": {
+            "strictRevocation": True,
+            "configApplyMs": 2000,
+            "revokeMs": 5000,
+            "graceS": GRACE_S,
+        },
+    }
+
+
+def write_settings(site: DeployedSite, node: str):
+    """Writes the settings of a node, made from the template of the deploy file."""
+    template = (site.program / "deploy" / "settings.json").read_text()
+    (site.folder / f"{node}.json").write_text(fill_template(template, make_values(site, node)))
+
+
+def start_process(site: DeployedSite, node: str):
+    """Starts a node's process and appends its output to the node's log file."""
+    deploy_file = tomllib.loads((site.program / "deploy" / "system.toml").read_text())
+    command = deploy_file["roles"]["node"]["run"].split()
+    environment = {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": str(site.program),
+        SETTINGS_VARIABLE: str(site.folder / f"{node}.json"),
+    }
+    with open(site.folder / f"{node}.log", "ab") as output:
+        site.processes[node] = subprocess.Popen(
+            [sys.executable, *command[1:]],
+            stdout=output,
+            stderr=output,
+            env=environment,
+            cwd=site.program,
+        )
+
+
+def make_vm(site_network: str, number: int) -> ListedVm:
+    """Returns the registry entry of a VM; six of a zone share a rack."""
+    zone = ZONES[number % len(ZONES)]
+    rack = f"r{number // VMS_PER_RACK}"
+    address = f"{site_network}.{150 + number}:{PLATFORM_PORT}"
+    labels = (("a", "b")[number % 2], rack)
+    return ListedVm(f"vm-{number}", 1, SERVICE, address, zone, rack, labels, VM_CAPACITY, False)
+
+
+def register_vm(site: DeployedSite, name: str):
+    """Appends a VM's registry entry, as the VM does when it starts."""
+    vm = site.platform.vm_simulator.vms[name]
+    entry = encode_vm_entry(replace(vm.listed, incarnation=vm.incarnation))
+    site.platform.get_topic(registry.TOPIC).append([KeyedRecord(name, entry)], None)
+
+
+def publish_configuration(site: DeployedSite):
+    """Publishes a new version of the configuration."""
+    site.version += 1
+    document = encode_configuration(site.version, QUEUES, *KEYS)
+    topic = site.platform.get_topic(configuration.TOPIC)
+    topic.append([KeyedRecord(configuration.KEY, document)], None)
+
+
+async def start_site(seed: int, folder: Path, program: Path = ROOT) -> DeployedSite:
+    """Starts the stand-ins and the nodes."""
+    records = CallerRecords()
+    simulator = VmSimulator(make_behavior_lookup(records.jobs))
+    platform = DeployedPlatform(simulator, LogLimits(), records, seed)
+    platform.allowed_fractions = ALLOWED_FRACTIONS
+    network = choose_network()
+    site = DeployedSite(seed, folder, program, network, random.Random(seed), platform, records)
+    vms = [make_vm(network, number) for number in range(VM_COUNT)]
+    hosts = [site.get_store_host(node) for node in site.nodes]
+    hosts += [vm.address.split(":")[0] for vm in vms]
+    await platform.start(hosts, PLATFORM_PORT)
+    publish_configuration(site)
+    for vm in vms:
+        simulator.add(vm)
+        register_vm(site, vm.name)
+    for node in site.nodes:
+        write_settings(site, node)
+        start_process(site, node)
+    return site
+
+
+async def stop_site(site: DeployedSite):
+    """Kills the processes of this run and closes the stand-ins; a paused process is resumed."""
+    site.stopping.update(site.nodes)
+    for process in site.processes.values():
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        process.wait()
+    await site.platform.close()
+
+
+# Disturbances.
+
+
+async def crash_vm(site: DeployedSite, name: str, down_s: float):
+    """Takes the power from a VM, which restarts without its state and registers itself again."""
+    simulator = site.platform.vm_simulator
+    if not simulator.vms[name].up:
+        return
+    simulator.crash(name, down_s)
+    if down_s > ENTRY_EXPIRY_S:
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        site.platform.get_topic(registry.TOPIC).append([KeyedRecord(name, b"")], None)
+        down_s -= ENTRY_EXPIRY_S
+    await asyncio.sleep(down_s + site.generator.uniform(0.05, 0.8))
+    register_vm(site, name)
+
+
+def impair_store(site: DeployedSite, nodes: list[str], fault: StoreFault):
+    """Lets the store treat the calls of some nodes badly."""
+    for node in nodes:
+        site.platform.store_faults[site.get_store_host(node)] = fault
+
+
+def heal_store(site: DeployedSite, nodes: list[str]):
+    """Lets the store treat the calls of some nodes well again."""
+    for node in nodes:
+        site.platform.store_faults.pop(site.get_store_host(node), None)
--- /dev/null
+++ b/caroblead/bench/deployedsoak.py
@@ -0,0 +1,223 @@
+"""Soak test of a site as it is deployed: ``python -m caroblead.bench.deployedsoak --seeds 10``.
+
+Nodes run as separate processes with the settings of the deploy file, all switches on, against
+stand-ins for the store, the advice service and the VMs, at the load that the users name. Planned
+work and faults are drawn from the seed. Afterwards, what callers were told and what the VMs did is
+checked: for lost requests and jobs, and for every other invariant.
+"""
+
+import asyncio
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import cyclopts
+
+from ..core.resource import NOTHING
+from ..platform.jobs import STATE_NAMES
+from ..standin.lostcheck import (
+    IDLE_S,
+    list_cut_requests,
+    list_false_answers,
+    list_idle_jobs,
+    list_unknown_jobs,
+)
+from ..standin.verdict import check_history
+from .deployedcallers import Balancer, Callers
+from .deployedfaults import EVENTS, FAULTS, PLANNED, cut_power, kill_all, supervise
+from .deployedsite import (
+    ROOT,
+    VM_CAPACITY,
+    DeployedSite,
+    publish_configuration,
+    start_site,
+    stop_site,
+)
+
+TRAFFIC_S = 34.0
+FINISH_S = 14.0
+LEAD_S = 12.0
+READY_CHECK_S = 0.2
+ACK_TO_FINAL_FAULT_S = 0.05
+# Exits that planned work and faults cause.
+EXPECTED_STATUSES = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
+
+app = cyclopts.App(help="Soak test of a site as it is deployed, under planned work and faults.")
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a run showed."""
+
+    site: DeployedSite
+    statuses: Counter
+    lost: list[str] = field(default_factory=list)
+    other: list[str] = field(default_factory=list)
+
+
+async def _play(site: DeployedSite, callers: Callers, events: list, final: bool):
+    generator = site.generator
+
+    async def do_later(event, at_s: float, seed: int):
+        await asyncio.sleep(at_s)
+        site.faults.append(f"{event.__name__} {at_s:.1f}")
+        await event(site, random.Random(seed))
+
+    running = [
+        asyncio.create_task(
+            do_later(event, generator.uniform(1.0, TRAFFIC_S - 6.0), generator.getrandbits(32))
+        )
+        for event in events
+    ]
+    if final:
+        running.append(asyncio.create_task(_end_day(site, random.Random(generator.random()))))
+    await callers.send_traffic(TRAFFIC_S)
+    await asyncio.gather(*running)
+
+
+async def _end_day(site: DeployedSite, rng: random.Random):
+    """Kills all nodes, or takes the power from everything, right after an acknowledgement."""
+    await asyncio.sleep(TRAFFIC_S - rng.uniform(3.0, 8.0))
+    publish_configuration(site)
+    await asyncio.sleep(ACK_TO_FINAL_FAULT_S)
+    event = rng.choice((kill_all, cut_power, cut_power))
+    site.faults.append(f"final {event.__name__}")
+    await event(site, rng)
+
+
+async def _wait_until_ready(site: DeployedSite, balancer: Balancer):
+    end_s = site.get_now_s() + LEAD_S
+    while site.get_now_s() < end_s:
+        await asyncio.gather(*(balancer.check(node) for node in site.nodes))
+        if not any(balancer.misses[node] for node in site.nodes):
+            return
+        await asyncio.sleep(READY_CHECK_S)
+
+
+async def _judge(site: DeployedSite, callers: Callers) -> Outcome:
+    """Waits as long as the users do, asks for every accepted job, and lists what was lost."""
+    await asyncio.sleep(FINISH_S)
+    records, platform = site.caller_records, site.platform
+    from_s = site.get_now_s()
+    polls = await asyncio.gather(*(callers.ask(job) for job in sorted(records.accepted)))
+    await asyncio.sleep(max(0.0, from_s + IDLE_S + 0.1 - site.get_now_s()))
+    history = platform.vm_simulator.history
+    outcome = Outcome(site, callers.count_statuses())
+    outcome.lost += list_cut_requests(site.observations)
+    outcome.lost += list_false_answers(site.observations, history, records)
+    outcome.lost += list_unknown_jobs(polls, records, STATE_NAMES.values())
+    capacities = {name: VM_CAPACITY for name, vm in platform.vm_simulator.vms.items() if vm.up}
+    outcome.lost += list_idle_jobs(history, records, capacities, from_s, platform.is_allowed)
+    outcome.other += check_history(history, records, VM_CAPACITY, NOTHING)
+    outcome.other += [
+        f"{at_s:.3f} {node} ended by itself with status {status}"
+        for at_s, node, status in site.exits
+        if status not in EXPECTED_STATUSES
+    ]
+    return outcome
+
+
+async def run_deployed_soak(
+    seed: int, folder: Path, events: list, final: bool, program: Path = ROOT
+) -> Outcome:
+    """Runs one seed and returns what it showed."""
+    site = await start_site(seed, folder, program)
+    callers = Callers(site, Balancer(site))
+    supervisors = [asyncio.create_task(supervise(site, node)) for node in site.nodes]
+    try:
+        await _wait_until_ready(site, callers.balancer)
+        callers.start()
+        await _play(site, callers, events, final)
+        return await _judge(site, callers)
+    finally:
+        await callers.close()
+        site.stopping.update(site.nodes)
+        for supervisor in supervisors:
+            supervisor.cancel()
+        await stop_site(site)
+
+
+def draw_events(seed: int, count: int, planned: bool, faults: bool) -> list:
+    """Returns the events of a seed."""
+    choices = (PLANNED if planned else ()) + (FAULTS if faults else ())
+    rng = random.Random(f"events {seed}")
+    return [rng.choice(choices) for _ in range(count)] if choices else []
+
+
+@app.default
+def search(
+    seeds: int = 10,
+    first: int = 1,
+    count: int = 5,
+    planned: bool = True,
+    faults: bool = True,
+    final: bool = True,
+    only: str = "",
+    program: Path = ROOT,
+    keep: Path = Path("build/deployedsoak"),
+):
+    """Runs a range of seeds and exits with 1 if any of them lost something or broke an invariant.
+
+    Parameters
+    ----------
+    seeds
+        The number of seeds to run.
+    first
+        The first seed.
+    count
+        The number of events of a run.
+    planned
+        Whether planned work is among the events.
+    faults
+        Whether faults are among the events.
+    final
+        Whether each run ends with all nodes killed, or without power together with all VMs.
+    only
+        Names of events, joined by commas, that are played in place of drawn ones.
+    program
+        The folder of the repository whose program runs.
+    keep
+        The directory in which the logs of runs with problems are kept.
+    """
+    failed = False
+    for seed in range(first, first + seeds):
+        events = draw_events(seed, count, planned, faults)
+        if only:
+            events = [EVENTS[name] for name in only.split(",")]
+        with tempfile.TemporaryDirectory() as name:
+            run = run_deployed_soak(seed, Path(name), events, final, program.resolve())
+            outcome = asyncio.run(run)
+            _report(seed, outcome)
+            if outcome.lost or outcome.other:
+                failed = True
+                shutil.copytree(name, keep / str(seed), dirs_exist_ok=True)
+                _write_problems(keep / str(seed) / "problems.txt", outcome)
+    sys.exit(failed)
+
+
+def _report(seed: int, outcome: Outcome):
+    site = outcome.site
+    statuses = {f"{name} {status}": n for (name, status), n in sorted(outcome.statuses.items())}
+    print(
+        f"seed {seed}: {len(site.caller_records.accepted)} accepted of"
+        f" {len(site.caller_records.jobs)}, {statuses}, {', '.join(site.faults)}:"
+        f" LOST {len(outcome.lost)}, other {len(outcome.other)}",
+        flush=True,
+    )
+    for problem in (*outcome.lost[:8], *outcome.other[:8]):
+        print(f"  {problem}", flush=True)
+
+
+def _write_problems(path: Path, outcome: Outcome):
+    exits = [f"{at_s:.3f} {node} ended with status {s}" for at_s, node, s in outcome.site.exits]
+    lines = [*outcome.site.faults, "", *outcome.lost, "", *outcome.other, "", *exits]
+    path.write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    app()
--- a/caroblead/standin/caller.py
+++ b/caroblead/standin/caller.py
@@ -27,27 +27,41 @@
         "after": list(step.after),
         "gang": step.gang,
         "antiAffinity": step.max_per_vm,
+        "checkpointing": step.checkpoints,
     }
     return {name: value for name, value in fields.items() if value}
 
 
-def encode_configuration(version: int, queues: dict[str, JobQueue], key: str) -> bytes:
-    """Returns a configuration with one team, encoded as the operators publish it."""
-    routes = [
-        {
-            "name": queue.name,
-            "host": queue.host,
-            "pathPrefix": queue.path,
-            "service": queue.service,
-            "priority": queue.priority,
-            "maxAttempts": queue.max_attempts,
-        }
-        for queue in queues.values()
+def encode_configuration(version: int, queues: dict[str, JobQueue], *keys: str) -> bytes:
+    """Returns a configuration with a team for each key, encoded as the operators publish it."""
+    routes = [_encode_queue(queue) for queue in queues.values()]
+    tenants = [
+        {"name": f"team-{number}", "weight": 100, "apiKeys": [key], "cap": {}}
+        for number, key in enumerate(keys)
     ]
-    tenants = [{"name": "north", "weight": 100, "apiKeys": [key], "cap": {}}]
     return orjson.dumps({"version": version, "routes": routes, "tenants": tenants})
 
 
+def _encode_queue(queue: JobQueue) -> dict:
+    route = {
+        "name": queue.name,
+        "host": queue.host,
+        "pathPrefix": queue.path,
+        "service": queue.service,
+        "priority": queue.priority,
+        "maxAttempts": queue.max_attempts,
+        "targetFactor": queue.stretch,
+        "targetLatencyMs": int(queue.latency_s * 1000),
+    }
+    if queue.advice is not None:
+        route["recommendation"] = {
+            "decisionMs": queue.advice.decision_s * 1000,
+            "periodMs": queue.advice.per_vm_s * 1000,
+            "validityMs": queue.advice.valid_s * 1000,
+        }
+    return route
+
+
 def encode_vm_entry(listed, draining: bool = False) -> bytes:
     """Returns the registry entry that a VM writes to register itself."""
     return orjson.dumps(
--- /dev/null
+++ b/caroblead/standin/lostcheck_test.py
@@ -0,0 +1,99 @@
+"""Tests that the check of what was lost finds each kind of loss, and nothing in a sound history."""
+
+from ..core.resource import Resources
+from ..dispatch.interface import TaskName
+from .cluster import QUEUES
+from .lostcheck import (
+    CutRequest,
+    Disturbance,
+    Observations,
+    Poll,
+    list_cut_requests,
+    list_false_answers,
+    list_idle_jobs,
+    list_unknown_jobs,
+)
+from .verdict import CallerRecords
+from .vmsimulator import HistoryEvent
+from .work import make_spec, make_step
+
+JOB = "a" * 16
+NEED = Resources(1000, 1024)
+VMS = {"vm-0": Resources(4000, 8192)}
+
+
+def make_records(*steps) -> CallerRecords:
+    spec = make_spec(*(steps or (make_step(1),)))
+    return CallerRecords({JOB: spec}, {JOB: QUEUES["reviews"]}, {JOB})
+
+
+def make_event(at_s: float, kind: str, index: int = 0, number: int = 1) -> HistoryEvent:
+    return HistoryEvent(at_s, kind, TaskName(JOB, 0, 0, index), number, "vm-0", NEED)
+
+
+def allow_all(step: str, vm: str, queue: str) -> bool:
+    return True
+
+
+def test_request_cut_off_late_at_a_calm_node_is_lost():
+    early = CutRequest("n0", "POST", JOB, 10.0, 10.1, "IncompleteReadError")
+    late = CutRequest("n0", "POST", JOB, 10.0, 10.5, "IncompleteReadError")
+    assert list_cut_requests(Observations(cuts=[early])) == []
+    assert len(list_cut_requests(Observations(cuts=[early, late]))) == 1
+    for node, lost in (("n0", 0), ("", 0), ("n1", 1)):
+        observations = Observations(cuts=[late], disturbances=[Disturbance(node, 7.0, 7.5)])
+        assert len(list_cut_requests(observations)) == lost
+
+
+def test_accepted_job_that_is_denied_is_lost():
+    observations = Observations(accepted_s={JOB: 1.0})
+    observations.polls = [Poll("n0", JOB, 3.0, "status 410")]
+    assert list_false_answers(observations, [], make_records()) == []
+    observations.polls = [Poll("n0", JOB, 5.0, "status 410")]
+    assert len(list_false_answers(observations, [], make_records())) == 1
+    observations.disturbances = [Disturbance("n0", 1.0, 2.5)]
+    assert list_false_answers(observations, [], make_records()) == []
+
+
+def test_job_that_is_shown_as_ended_without_a_cause_is_lost():
+    observations = Observations(accepted_s={JOB: 1.0})
+    observations.polls = [Poll("n0", JOB, 3.0, "failed")]
+    one, two = make_event(1.5, "failed"), make_event(2.0, "failed", number=2)
+    other = make_event(2.0, "failed", index=1)
+    assert len(list_false_answers(observations, [one, other], make_records())) == 1
+    assert list_false_answers(observations, [one, two], make_records()) == []
+    observations.polls = [Poll("n0", JOB, 3.0, "cancelled")]
+    assert len(list_false_answers(observations, [one, two], make_records())) == 1
+
+
+def test_job_that_nothing_runs_of_beside_free_vms_is_lost():
+    idle = list_idle_jobs([], make_records(), VMS, 10.0, allow_all)
+    assert len(idle) == 1
+    run = [make_event(9.0, "start"), make_event(10.5, "done")]
+    assert list_idle_jobs(run, make_records(), VMS, 10.0, allow_all) == []
+    too_late = [make_event(13.5, "start")]
+    assert len(list_idle_jobs(too_late, make_records(), VMS, 10.0, allow_all)) == 1
+    lapsed = [make_event(5.0, "start"), make_event(6.0, "lapsed")]
+    assert len(list_idle_jobs(lapsed, make_records(), VMS, 10.0, allow_all)) == 1
+
+
+def test_job_without_room_twice_over_does_not_count_as_idle():
+    wide = make_records(make_step(3, gang=True))
+    assert list_idle_jobs([], wide, VMS, 10.0, allow_all) == []
+    assert list_idle_jobs([], make_records(), VMS, 10.0, lambda *names: False) == []
+    other = TaskName("b" * 16, 0, 0, 0)
+    busy = HistoryEvent(9.0, "start", other, 1, "vm-0", Resources(2500, 1024))
+    assert list_idle_jobs([busy], make_records(), VMS, 10.0, allow_all) == []
+
+
+def test_step_whose_earlier_step_is_open_does_not_count_as_idle():
+    records = make_records(make_step(1), make_step(1, after=(0,)))
+    begun = [make_event(9.0, "start")]
+    assert list_idle_jobs(begun, records, VMS, 10.0, allow_all) == []
+    done = [make_event(8.0, "start"), make_event(9.0, "done")]
+    assert len(list_idle_jobs(done, records, VMS, 10.0, allow_all)) == 1
+
+
+def test_job_whose_state_no_node_tells_at_the_end_is_lost():
+    polls = [Poll("n0", JOB, 40.0, "status 503"), Poll("n1", JOB, 40.0, "completed")]
+    assert len(list_unknown_jobs(polls, make_records(), ["completed"])) == 1
--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -6,7 +6,8 @@
 import asyncio
 import base64
 import struct
-from collections import defaultdict
+from collections import Counter, defaultdict
+from collections.abc import Sequence
 
 import orjson
 from aiohttp import web
@@ -41,6 +42,7 @@
 )
 from .vmsimulator import SimulatedVm, VmSimulator
 
+BACKLOG = 512
 # Only the operators and the VMs write to these topics.
 OPERATORS_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 REFUSAL_REASONS = {
@@ -56,8 +58,8 @@
     All VMs share its address; the header ``Expect-Instance`` names the VM that a call is meant for.
     ``advice`` maps the VMs that the advice service allows to their tickets. A ``status`` other than
     200 is the response to every call, which then has no effect. The topics have ``limits``, and a
-    page of newest records has ``keys_per_page`` at most. The advice service answers one call at a
-    time, in ``advice_s``.
+    page of newest records has ``keys_per_page`` at most. The advice service answers one call of
+    each machine at a time, in ``advice_s``; a machine is known by the address that it calls.
     """
 
     def __init__(self, vm_simulator: VmSimulator | None = None, limits: LogLimits = LogLimits()):
@@ -70,16 +72,16 @@
         self.rate = CallRate()
         self.partitions: defaultdict[str, Partition] = defaultdict(Partition)
         self.advice_s = 0.0
-        self.advice_lock = asyncio.Lock()
-        self.open_questions = 0
+        self.advice_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self.open_questions: Counter[str] = Counter()
         self.runner = web.ServerRunner(web.Server(self._serve))
         self.address = ""
 
-    async def start(self):
-        """Listens on the loopback interface."""
+    async def start(self, hosts: Sequence[str] = ("127.0.0.1",), port: int = 0):
+        """Listens at one or more addresses of the loopback interface."""
         await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
+        for host in hosts:
+            await web.TCPSite(self.runner, host, port, backlog=BACKLOG).start()
         host, port = self.runner.addresses[0][:2]
         self.address = f"{host}:{port}"
 
@@ -97,7 +99,7 @@
         try:
             return await getattr(self, f"_answer_{call}")(request, body)
         except _InvalidCallError as error:
-            return _encode_response(400, {"error": str(error)})
+            return encode_response(400, {"error": str(error)})
 
     def _get_topic(self, request: web.BaseRequest) -> MemoryTopic:
         if request.query["topic"] not in self.topics:
@@ -127,17 +129,17 @@
         try:
             offset = topic.append(records, fence)
         except FencedError as error:
-            return _encode_response(409, {"reason": str(error)})
+            return encode_response(409, {"reason": str(error)})
         except RecordsRefusedError as error:
-            return _encode_response(400, {"error": str(error)})
+            return encode_response(400, {"error": str(error)})
         except LogError as error:
-            return _encode_response(507, {"error": str(error)})
-        return _encode_response(200, {"offset": offset, "endOffset": topic.end_offset})
+            return encode_response(507, {"error": str(error)})
+        return encode_response(200, {"offset": offset, "endOffset": topic.end_offset})
 
     async def _answer_log_read(self, request, body: bytes) -> web.Response:
         topic, start = self._get_topic(request), int(request.query["fromRevision"])
         if start < topic.first_offset:
-            return _encode_response(410, {"firstOffset": topic.first_offset})
+            return encode_response(410, {"firstOffset": topic.first_offset})
         wait_ms = int(request.query.get("waitMs", 0))
         _check(wait_ms <= MAX_READ_WAIT_MS, "waitMs")
         if start >= topic.end_offset and wait_ms:
@@ -163,7 +165,7 @@
                 break
             items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
         has_more = len(keys) > len(items)
-        return _encode_response(
+        return encode_response(
             200, {"items": items, "hasMore": has_more, "endOffset": topic.end_offset}
         )
 
@@ -220,7 +222,7 @@
         ended = [
             [e.serial, str(e.task), e.number, str(e.reason), e.checkpoint] for e in answer.ended
         ]
-        return _encode_response(
+        return encode_response(
             200,
             {
                 "clockMs": answer.clock_ms,
@@ -233,16 +235,28 @@
     async def _answer_advise(self, request, body: bytes) -> web.Response:
         workers = orjson.loads(body)["workers"]
         _check(len(workers) <= MAX_VMS_PER_QUESTION, "workers")
-        if self.open_questions > MAX_WAITING_QUESTIONS:
+        if not await self._wait_for_advice(request, self.advice_s):
             return web.Response(status=429)
-        self.open_questions += 1
+        allowed = [[name, self.advice[name]] for name in workers if name in self.advice]
+        return encode_response(200, {"allowed": allowed, "validityMs": 1500})
+
+    async def _wait_for_advice(self, request: web.BaseRequest, seconds: float) -> bool:
+        """Waits for the turn of a question and for its answer; false if it is turned away."""
+        machine = get_local_host(request)
+        if self.open_questions[machine] > MAX_WAITING_QUESTIONS:
+            return False
+        self.open_questions[machine] += 1
         try:
-            async with self.advice_lock:
-                await asyncio.sleep(self.advice_s)
+            async with self.advice_locks[machine]:
+                await asyncio.sleep(seconds)
         finally:
-            self.open_questions -= 1
-        allowed = [[name, self.advice[name]] for name in workers if name in self.advice]
-        return _encode_response(200, {"allowed": allowed, "validityMs": 1500})
+            self.open_questions[machine] -= 1
+        return True
+
+
+def get_local_host(request: web.BaseRequest) -> str:
+    """Returns the address at which a call arrived."""
+    return request.transport.get_extra_info("sockname")[0] if request.transport else ""
 
 
 class _InvalidCallError(Exception):
@@ -254,12 +268,13 @@
         raise _InvalidCallError(field)
 
 
-def _encode_response(status: int, message: dict) -> web.Response:
+def encode_response(status: int, message: dict) -> web.Response:
+    """Returns a response whose body is a JSON object."""
     body = orjson.dumps(message)
     return web.Response(status=status, body=body, content_type="application/json")
 
 
 def _encode_order_outcome(outcome) -> web.Response:
     if isinstance(outcome, Started):
-        return _encode_response(200, {"clockMs": outcome.clock_ms})
-    return _encode_response(409, {"clockMs": 0, "reason": REFUSAL_REASONS[outcome.reason]})
+        return encode_response(200, {"clockMs": outcome.clock_ms})
+    return encode_response(409, {"clockMs": 0, "reason": REFUSAL_REASONS[outcome.reason]})
