A port that is taken no longer ends a node, nor the requests that it has accepted

Cause: the ports were opened one after the other, the callers' first, and an error in any of them ended the process. A caller isn't served for the sake of a metric.

Now a node goes on without a port that is taken, logs it (port:not_open) and opens it as soon as it is free (port:open). It isn't ready for the balancer while its callers' port isn't open, and isn't announced to peers while theirs isn't. The same for the metrics, the readiness, the peers' and the callers' port.

Evidence: start_test.py holds one port and asks the node; without the change all three cases are cut off, now they get their answer (503, as the store of the test doesn't answer). Ruled out: trying the ports before the callers' (a port that is taken for long would keep the node from serving), ending with an answer to callers (it would be started again at once, and end again).

--- a/caroblead/node/peer.py
+++ b/caroblead/node/peer.py
@@ -4,6 +4,9 @@
 for the state of a job.
 """
 
+import asyncio
+
+from ..core.port import open_port
 from ..dispatch.advice.advicequeue import Adviser
 from ..dispatch.interface import Advice, AdviceService
 from ..events.clock import LogicalClock
@@ -32,10 +35,16 @@
         self.notifier: CompletionNotifier | None = None
         handlers = {ttypes.AskAdvice: self._answer_ask, ttypes.AskState: self._answer_state}
         self.server = RpcServer(f"{node}/node", clock, handlers)
+        self.listening = asyncio.Event()
+        self.opening: asyncio.Task | None = None
 
     async def start(self, host: str, port: int):
-        """Starts to listen for calls from peers."""
+        """Starts to listen for calls from peers, or does so later if the port is taken."""
+        self.opening = await open_port(lambda: self._listen(host, port), "peers")
+
+    async def _listen(self, host: str, port: int):
         await self.server.start(host, port)
+        self.listening.set()
 
     async def _answer_ask(self, message: ttypes.AskAdvice, envelope) -> ttypes.AdviceReply:
         advice = await self.advisor.ask(message.step, message.vms, envelope.budget_ms / 1000)
@@ -92,5 +101,7 @@
 
     async def close(self):
         """Closes all connections."""
+        if self.opening is not None:
+            self.opening.cancel()
         await self.rpc_client.close()
         await self.server.close()
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -150,7 +150,11 @@
         self.timers.subscribe(YIELD_CHECK_INTERVAL_S, self._yield_to_stronger)
 
     async def _announce(self):
-        """Publishes the address and the strength of this node to its peers through the log."""
+        """Publishes the address and the strength of this node to its peers through the log.
+
+        A node whose port for peers is taken takes calls and may lead, but isn't known to them.
+        """
+        await self.peers.listening.wait()
         settings = self.settings
         record = NodeRecord(
             settings.node,
--- a/caroblead/platform/frontend.py
+++ b/caroblead/platform/frontend.py
@@ -54,7 +54,7 @@
         self.is_ready = is_ready
         self.metrics = metrics
         self.relay = relay
-        self.caller_listener = Listener(self._serve_caller)
+        self.caller_listener = Listener(self._serve_caller, "callers")
         self.listeners = [self.caller_listener]
         self.rejection_of_open_calls: Rejected | None = None
 
@@ -81,19 +81,21 @@
         """Listens for callers and for the load balancer's readiness checks.
 
         Both addresses have the form ``host:port`` and may be the same. Callers are served through
-        ``caller_socket`` if it is given, which listens at their address already.
+        ``caller_socket`` if it is given, which listens at their address already. A port that is
+        taken is opened as soon as it is free.
         """
         if caller_socket is None:
             await _start_at(self.caller_listener, caller_address)
         else:
             await self.caller_listener.start_on(caller_socket)
         if readiness_address != caller_address:
-            listener = Listener(self._serve_readiness)
+            listener = Listener(self._serve_readiness, "readiness")
             self.listeners.append(listener)
             await _start_at(listener, readiness_address)
 
     async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self.is_ready() else 503)
+        is_ready = self.is_ready() and self.caller_listener.is_open
+        return web.Response(status=200 if is_ready else 503)
 
     async def _serve_caller(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/api/readyz":
--- a/caroblead/platform/listener.py
+++ b/caroblead/platform/listener.py
@@ -14,6 +14,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from ..core.clock import get_elapsed_s
+from ..core.port import open_port
 from .earlysocket import BACKLOG
 
 # After this many turns of the event loop, an accepted connection is known to the server, and the
@@ -31,9 +32,12 @@
 
     ``calls`` maps each connection on which a call is in progress to the task of the call. While
     ``closing`` is set, each connection is closed after the response to the last request read on it.
+    ``purpose`` names the listener in the log.
     """
 
-    def __init__(self, handler: Handler):
+    def __init__(self, handler: Handler, purpose: str = ""):
+        self.purpose = purpose
+        self.opening: asyncio.Task | None = None
         self.handler = handler
         self.server = web.Server(self._serve, access_log=None)
         self.runner = web.ServerRunner(self.server, shutdown_timeout=ABORT_TIMEOUT_S)
@@ -45,10 +49,23 @@
         """The host and port on which the listener accepts connections."""
         return self.runner.addresses[0][:2]
 
+    @property
+    def is_open(self) -> bool:
+        """Whether connections are accepted."""
+        return bool(self.runner.sites)
+
     async def start(self, host: str, port: int):
-        """Starts to accept connections."""
+        """Starts to accept connections, or does so later if the port is taken."""
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port, backlog=BACKLOG).start()
+        self.opening = await open_port(lambda: self._listen(host, port), self.purpose)
+
+    async def _listen(self, host: str, port: int):
+        site = web.TCPSite(self.runner, host, port, backlog=BACKLOG)
+        try:
+            await site.start()
+        except OSError:
+            await site.stop()
+            raise
 
     async def start_on(self, listening: socket.socket):
         """Starts to accept the connections of a socket, also those that wait there already."""
@@ -69,6 +86,8 @@
     async def stop_accepting(self):
         """Refuses new connections; those that were accepted stay open."""
         self.closing = True
+        if self.opening is not None:
+            self.opening.cancel()
         for site in self.runner.sites:
             await site.stop()
         await _wait_until_begun()
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -104,7 +104,7 @@
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(text=write_metrics(node))
 
-    listener = Listener(answer)
+    listener = Listener(answer, "metrics")
     await listener.start(node.settings.host, node.settings.metrics_port)
     return listener
 
--- /dev/null
+++ b/caroblead/platform/start_test.py
@@ -0,0 +1,130 @@
+"""Tests that a start which can't go as planned takes no caller's request along."""
+
+import asyncio
+import json
+import random
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from .serve import SETTINGS_VARIABLE
+
+PORTS = {"callers": 8183, "readiness": 8184, "peers": 7420, "metrics": 9464, "store": 8182}
+GRACE_S = 2.0
+START_TIMEOUT_S = 20.0
+ANSWER_TIMEOUT_S = 20.0
+REQUEST = (
+    b"GET /c/00000000000000b1 HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 300\r\n"
+    b"Authorization: Bearer key\r\n\r\n"
+)
+
+
+def choose_host() -> str:
+    """Returns a loopback address whose ports are all free."""
+    while True:
+        host = f"127.{random.randint(2, 254)}.{random.randint(1, 254)}.1"
+        try:
+            for port in PORTS.values():
+                socket.create_server((host, port)).close()
+            return host
+        except OSError:
+            continue
+
+
+def start_node(folder, host: str, **changed) -> subprocess.Popen:
+    """Starts the node program, whose store doesn't answer."""
+    settings = {
+        "node": "n0",
+        "zone": "a",
+        "host": host,
+        "callers": f"{host}:{PORTS['callers']}",
+        "readiness": f"{host}:{PORTS['readiness']}",
+        "peer_port": PORTS["peers"],
+        "metrics_port": PORTS["metrics"],
+        "store": f"{host}:{PORTS['store']}",
+        "grace_s": GRACE_S,
+    }
+    path = folder / "n0.json"
+    path.write_text(json.dumps({**settings, **changed}))
+    return subprocess.Popen(
+        [sys.executable, "-m", "caroblead.platform"],
+        env={SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+async def connect(host: str, process: subprocess.Popen):
+    """Connects to a node as soon as it listens, or returns None if its process ends before."""
+    for _ in range(int(START_TIMEOUT_S / 0.01)):
+        try:
+            return await asyncio.open_connection(host, PORTS["callers"])
+        except OSError:
+            if process.poll() is not None:
+                return None
+            await asyncio.sleep(0.01)
+    raise TimeoutError("the node does not listen")
+
+
+async def ask(streams) -> bytes:
+    """Sends a request and returns the first line of the response, empty if it is cut off."""
+    reader, writer = streams
+    writer.write(REQUEST)
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await reader.readline()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("port", ["metrics", "readiness", "peers"])
+def test_port_that_is_taken_takes_no_request_along(tmp_path, port):
+    host = choose_host()
+
+    async def scenario() -> bytes:
+        with socket.create_server((host, PORTS[port])):
+            process = start_node(tmp_path, host)
+            try:
+                return await ask(await connect(host, process))
+            finally:
+                process.kill()
+                process.wait()
+
+    assert b" 503 " in asyncio.run(scenario())
+
+
+def test_metrics_are_served_as_soon_as_their_port_is_free(tmp_path):
+    host = choose_host()
+
+    async def scenario() -> bytes:
+        with socket.create_server((host, PORTS["metrics"])):
+            process = start_node(tmp_path, host)
+            (await connect(host, process))[1].close()
+            # The node has got to its metrics when it answers a caller.
+            await ask(await connect(host, process))
+        try:
+            return await read_metrics(host)
+        finally:
+            process.kill()
+            process.wait()
+
+    assert b" 200 " in asyncio.run(scenario())
+
+
+async def read_metrics(host: str) -> bytes:
+    """Returns the first line of the metrics, which is empty if they aren't served in time."""
+    for _ in range(int(START_TIMEOUT_S / 0.05)):
+        try:
+            reader, writer = await asyncio.open_connection(host, PORTS["metrics"])
+        except OSError:
+            await asyncio.sleep(0.05)
+            continue
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return line
+    return b""
