A node whose settings are invalid accepts no call

What callers saw: the callers' port was opened by the address in the settings alone, before anything else in them was checked. With any other field invalid the process ended when the program was loaded, about half a second later, and its callers' connections with it; so at each start. Now they are refused at once, and callers go to another node.

The settings are checked in full before the port is opened, by the same function as later.

--- a/caroblead/platform/earlysocket.py
+++ b/caroblead/platform/earlysocket.py
@@ -2,12 +2,12 @@
 
 Loading takes most of the time of a start. Calls that arrive meanwhile wait in the queue of the
 socket and are answered as soon as the node runs; without a listener their connections would be
-refused, also while all nodes of a site restart.
+refused, also while all nodes of a site restart. A program that will not run accepts no call.
 """
 
-import json
 import socket
-from pathlib import Path
+
+from ..node.setting import load_node_settings
 
 BACKLOG = 512
 
@@ -15,11 +15,14 @@
 def open_caller_socket(settings_path: str) -> socket.socket | None:
     """Returns a socket that listens at the callers' address of the settings.
 
-    Returns ``None`` if there is no valid address or the port is in use. The settings are checked
-    when the program is loaded, which then reports every error in them.
+    Returns ``None`` if the settings are invalid or the port can't be opened. The program reports
+    every error once it is loaded.
     """
+    checked = load_node_settings(settings_path)
+    if checked.faults:
+        return None
+    host, port = checked.value.callers.split(":")
     try:
-        host, port = json.loads(Path(settings_path).read_text())["callers"].split(":")
         return socket.create_server((host, int(port)), backlog=BACKLOG)
-    except (OSError, OverflowError, ValueError, KeyError, TypeError, AttributeError):
+    except (OSError, OverflowError):
         return None
--- a/caroblead/platform/earlysocket_test.py
+++ b/caroblead/platform/earlysocket_test.py
@@ -17,9 +17,21 @@
     return str(path)
 
 
+def make_settings(callers: str, **changed) -> str:
+    settings = {
+        "node": "n0",
+        "zone": "a",
+        "host": "127.0.0.1",
+        "callers": callers,
+        "readiness": "127.0.0.1:1",
+        "peer_port": 0,
+        "store": "127.0.0.1:1",
+    }
+    return json.dumps({**settings, **changed})
+
+
 def open_at_free_port(tmp_path):
-    path = write_settings(tmp_path, json.dumps({"callers": "127.0.0.1:0"}))
-    return open_caller_socket(path)
+    return open_caller_socket(write_settings(tmp_path, make_settings("127.0.0.1:0")))
 
 
 def test_call_that_comes_before_the_node_is_loaded_is_accepted(tmp_path):
@@ -67,5 +79,13 @@
     assert open_caller_socket(str(tmp_path / "missing")) is None
     with socket.create_server(("127.0.0.1", 0)) as other:
         address = "{}:{}".format(*other.getsockname())
-        path = write_settings(tmp_path, json.dumps({"callers": address}))
+        path = write_settings(tmp_path, make_settings(address))
+        assert open_caller_socket(path) is None
+
+
+def test_no_call_is_accepted_with_settings_that_the_program_refuses(tmp_path):
+    for changed in ({"lease_s": -1}, {"peer_port": 70_000}, {"zone": 7}):
+        path = write_settings(tmp_path, make_settings("127.0.0.1:0", **changed))
         assert open_caller_socket(path) is None
+    for callers in ("127.0.0.1:99999", "::1:80"):
+        assert open_caller_socket(write_settings(tmp_path, make_settings(callers))) is None
--- a/caroblead/platform/start_test.py
+++ b/caroblead/platform/start_test.py
@@ -128,3 +128,14 @@
         writer.close()
         return line
     return b""
+
+
+def test_settings_that_are_invalid_take_no_request_along(tmp_path):
+    host = choose_host()
+
+    async def scenario() -> int:
+        process = start_node(tmp_path, host, lease_s=-1)
+        assert await connect(host, process) is None, "a node accepts callers that it can't serve"
+        return process.wait()
+
+    assert asyncio.run(scenario()) == 2
