A stop that comes while the program is loaded takes no waiting call along

What callers saw: a node listens for callers before its program is loaded, about 0.6 s on a calm machine. SIGTERM in that time ended the process at once (status -15), and the calls that waited in the queue of its socket were reset, up to the whole loading time after they had been sent.

Cause: the signals were handled only once the event loop ran. Now they are noted from before the port is opened; the node starts, answers what waits, and drains. Its grace period counts from the signal, not from when it could be handled, so a late start leaves less time for the drain and the process still ends in time.

--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -329,21 +329,20 @@
 
     # Stopping.
 
-    async def drain(self, frontend):
-        """Stops in a planned way, within the grace period.
+    async def drain(self, frontend, requested_s: float):
+        """Stops in a planned way, within the grace period, which began at ``requested_s``.
 
         The node hands the leadership over, gives the load balancer time to notice that it isn't
         ready, and finishes open calls.
         """
         self.draining = True
         frontend.closing = True
-        started_s = get_elapsed_s()
         log("node:draining", open_calls=frontend.open_calls, leading=self.leader is not None)
         self.election.leave()
         await self._hand_over()
         notice_s = self.settings.grace_s * NOTICE_FRACTION
-        await asyncio.sleep(max(0.0, started_s + notice_s - get_elapsed_s()))
-        deadline_s = started_s + self.settings.grace_s * FINISH_FRACTION
+        await asyncio.sleep(max(0.0, requested_s + notice_s - get_elapsed_s()))
+        deadline_s = requested_s + self.settings.grace_s * FINISH_FRACTION
         while frontend.open_calls and get_elapsed_s() < deadline_s:
             await asyncio.sleep(0.02)
         log("node:stopped", open_calls=frontend.open_calls)
--- a/caroblead/platform/__main__.py
+++ b/caroblead/platform/__main__.py
@@ -4,7 +4,8 @@
 a node never needs because it makes no TLS connections, and the garbage collector looks through
 objects that live as long as the process.
 
-The callers' port is opened first, so that calls wait for the start and aren't refused.
+The callers' port is opened first, so that calls wait for the start and aren't refused. A stop that
+is requested meanwhile waits for the start too, since these calls must be answered.
 
 A request to reload the settings that arrives before they are first read is ignored.
 """
@@ -14,6 +15,7 @@
 import signal
 
 from .earlysocket import open_caller_socket
+from .stoprequest import StopRequest
 
 # Names the file from which OpenSSL reads the trusted certificates.
 CERTIFICATES_VARIABLE = "SSL_CERT_FILE"
@@ -35,8 +37,10 @@
 
 def main():
     """Opens the callers' port, loads the program and runs it."""
+    stop = StopRequest()
+    stop.note_signals()
     caller_socket = open_caller_socket(os.environ.get(SETTINGS_VARIABLE, ""))
-    load_program()(caller_socket)
+    load_program()(caller_socket, stop)
 
 
 if __name__ == "__main__":
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -9,7 +9,6 @@
 import socket
 import sys
 import zlib
-from collections.abc import Callable
 
 from aiohttp import web
 
@@ -29,6 +28,7 @@
 from .listener import Listener
 from .log import PlatformLog
 from .relay import Relay
+from .stoprequest import StopRequest
 from .vms import PlatformVms
 
 SETTINGS_VARIABLE = "CAROBLEAD_SETTINGS"
@@ -109,14 +109,16 @@
     return listener
 
 
-async def serve(path: str, caller_socket: socket.socket | None = None):
-    """Runs a node until SIGTERM or SIGINT, then drains it; SIGHUP reloads the settings.
+async def serve(path: str, caller_socket: socket.socket | None, stop: StopRequest):
+    """Runs a node until it is told to stop, then drains it; SIGHUP reloads the settings.
 
     Callers are served through ``caller_socket`` if it is given, which listens already.
     """
-    stop_requested = asyncio.Event()
+    stop.handle_signals()
     # A signal during the start is handled at the next turn of the loop, when the node exists.
-    handle_signals(stop_requested.set, lambda: reload_settings(path, node))
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP, lambda: reload_settings(path, node)
+    )
     settings = load_settings_or_exit(path)
     install_sink(settings.node)
     log("node:starting", zone=settings.zone, lease_s=settings.lease_s)
@@ -130,8 +132,8 @@
     await frontend.start(settings.callers, settings.readiness, caller_socket)
     metrics_listener = await serve_metrics(node)
     log("node:started", incarnation=node.election.incarnation)
-    await stop_requested.wait()
-    await node.drain(frontend)
+    requested_s = await stop.wait()
+    await node.drain(frontend, requested_s)
     await frontend.stop_listening(node.settings.grace_s * CLOSE_FRACTION)
     await metrics_listener.close(CLOSE_METRICS_S)
     await node.close()
@@ -140,14 +142,6 @@
     await relay_http.close()
 
 
-def handle_signals(stop: Callable[[], None], reload: Callable[[], None]):
-    """Calls ``stop`` on SIGTERM and SIGINT, and ``reload`` on SIGHUP."""
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGINT, stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-
-
 def reload_settings(path: str, node: Node):
     """Reads the settings again and applies those that may change at run time.
 
@@ -164,9 +158,12 @@
     log("settings:reloaded", changed=merged.changed, needs_restart=merged.needs_restart)
 
 
-def run(caller_socket: socket.socket | None = None):
-    """Runs the node program, which serves callers through the socket if it is given."""
-    asyncio.run(serve(os.environ[SETTINGS_VARIABLE], caller_socket))
+def run(caller_socket: socket.socket | None = None, stop: StopRequest | None = None):
+    """Runs the node program, which serves callers through the socket if it is given.
+
+    A stop may have been requested already.
+    """
+    asyncio.run(serve(os.environ[SETTINGS_VARIABLE], caller_socket, stop or StopRequest()))
 
 
 if __name__ == "__main__":
--- a/caroblead/platform/start_test.py
+++ b/caroblead/platform/start_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -139,3 +140,20 @@
         return process.wait()
 
     assert asyncio.run(scenario()) == 2
+
+
+def test_stop_while_the_program_is_loaded_takes_no_request_along(tmp_path):
+    host = choose_host()
+
+    async def scenario() -> tuple[bytes, int]:
+        process = start_node(tmp_path, host)
+        try:
+            streams = await connect(host, process)
+            process.send_signal(signal.SIGTERM)
+            return await ask(streams), await asyncio.to_thread(process.wait, START_TIMEOUT_S)
+        finally:
+            process.kill()
+
+    answer, status = asyncio.run(scenario())
+    assert b" 503 " in answer
+    assert status == 0
