A listener that closes serves the connections that the kernel has accepted for it

What callers saw: a connection that is established but not yet taken over by the program is reset when the listening socket is closed; its request, sent in good faith, gets no answer. A planned stop closes the socket between two turns of the loop, so a turn that takes long (a leader's tick, a read of a long history) loses every caller who came during it, also one that has waited for more than 0.2 s.

Now the listener takes over what waits in its sockets' queues immediately before it closes them, and answers it like any call read before the close.

Not seen in a soak of ours; on a calm machine the window is below a millisecond.

With it the soak of the deployed site learns to hold a port of a node that is stopped, for a while.

--- a/caroblead/bench/deployedfaults.py
+++ b/caroblead/bench/deployedfaults.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 
 from ..platform import configuration, registry
@@ -14,6 +15,9 @@
 from ..standin.deployedplatform import StoreFault
 from ..standin.lostcheck import Disturbance
 from .deployedsite import (
+    INTERNAL_PORTS,
+    METRICS_PORT,
+    READINESS_PORT,
     DeployedSite,
     crash_vm,
     heal_store,
@@ -26,6 +30,8 @@
 RESTART_S = (0.1, 0.5)
 FAULT_S = (1.0, 5.5)
 KILL_AFTER_S = 7.0
+# How often a port that is to be taken is tried while its node still holds it.
+TAKE_PORT_S = 0.01
 
 Event = Callable[[DeployedSite, random.Random], Awaitable[None]]
 
@@ -87,6 +93,23 @@
     await asyncio.gather(*stops)
 
 
+async def stop_with_port_taken(site: DeployedSite, rng: random.Random):
+    """Stops a node, and holds one of its ports for a while once it has let go of it."""
+    node = rng.choice(site.nodes)
+    port = rng.choice((METRICS_PORT, READINESS_PORT, INTERNAL_PORTS[0]))
+    stop = asyncio.create_task(stop_node(site, node))
+    held_s = rng.uniform(1.0, 9.0)
+    while held_s > 0:
+        try:
+            with socket.create_server((site.get_host(node), port)):
+                await asyncio.sleep(held_s)
+                held_s = 0.0
+        except OSError:
+            await asyncio.sleep(TAKE_PORT_S)
+            held_s -= TAKE_PORT_S / 10
+    await stop
+
+
 async def stop_again_and_again(site: DeployedSite, rng: random.Random):
     """Sends a node signals in a series that also meets its next start."""
     node = rng.choice(site.nodes)
@@ -115,6 +138,7 @@
     stop_one,
     stop_in_turn,
     stop_again_and_again,
+    stop_with_port_taken,
     reload_settings,
     publish_some,
 )
--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -33,6 +33,8 @@
 ROOT = Path(__file__).parents[2]
 CALLERS_PORT, READINESS_PORT, PLATFORM_PORT = 8183, 8184, 8182
 INTERNAL_PORTS = (7420, 7435)
+# As the deploy file's template has it.
+METRICS_PORT = 9464
 # The zone of each node.
 NODE_ZONES = ("ankara", "ankara", "ankara", "konya", "konya", "kayseri", "kayseri", "eskisehir")
 ZONES = tuple(dict.fromkeys(NODE_ZONES))
--- a/caroblead/platform/listener.py
+++ b/caroblead/platform/listener.py
@@ -3,10 +3,11 @@
 The HTTP library's own shutdown drops what arrives on every open connection, also the rest of a
 request whose first part was read, and may wait for a connection that it accepted a moment before.
 A listener closes a connection only after it has stopped reading from it and no call is in progress
-on it.
+on it, and the port only after it has taken over the connections that wait there.
 """
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -38,6 +39,7 @@
     def __init__(self, handler: Handler, purpose: str = ""):
         self.purpose = purpose
         self.opening: asyncio.Task | None = None
+        self.sockets: list[socket.socket] = []
         self.handler = handler
         self.server = web.Server(self._serve, access_log=None)
         self.runner = web.ServerRunner(self.server, shutdown_timeout=ABORT_TIMEOUT_S)
@@ -60,16 +62,15 @@
         self.opening = await open_port(lambda: self._listen(host, port), self.purpose)
 
     async def _listen(self, host: str, port: int):
-        site = web.TCPSite(self.runner, host, port, backlog=BACKLOG)
-        try:
-            await site.start()
-        except OSError:
-            await site.stop()
-            raise
+        await self._serve_socket(socket.create_server((host, port), backlog=BACKLOG))
 
     async def start_on(self, listening: socket.socket):
         """Starts to accept the connections of a socket, also those that wait there already."""
         await self.runner.setup()
+        await self._serve_socket(listening)
+
+    async def _serve_socket(self, listening: socket.socket):
+        self.sockets.append(listening)
         await web.SockSite(self.runner, listening, backlog=BACKLOG).start()
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
@@ -84,12 +85,15 @@
         return response
 
     async def stop_accepting(self):
-        """Refuses new connections; those that were accepted stay open."""
+        """Refuses new connections; those that the kernel has accepted are served."""
         self.closing = True
         if self.opening is not None:
             self.opening.cancel()
+        waiting = _accept_waiting(self.sockets)
         for site in self.runner.sites:
             await site.stop()
+        for connection in waiting:
+            await asyncio.get_running_loop().connect_accepted_socket(self.server, connection)
         await _wait_until_begun()
 
     async def close_when_idle(self, timeout_s: float) -> bool:
@@ -150,6 +154,18 @@
     return bool(connection._messages)
 
 
+def _accept_waiting(sockets: list[socket.socket]) -> list[socket.socket]:
+    """Returns the connections in the queues of sockets, which would be reset with them."""
+    accepted = []
+    for listening in sockets:
+        with contextlib.suppress(OSError):
+            while True:
+                accepted.append(listening.accept()[0])
+    for connection in accepted:
+        connection.setblocking(False)
+    return accepted
+
+
 async def _wait_until_begun():
     for _ in range(TURNS_UNTIL_BEGUN):
         await asyncio.sleep(0)
