--- a/caroblead/bench/deployedcallers.py
+++ b/caroblead/bench/deployedcallers.py
@@ -253,7 +253,7 @@
         )
 
     async def _send_queue(self, name: str, rate: float, end_s: float):
-        rng = random.Random(f"{name} {self.site.seed} {end_s:.0f}")
+        rng = random.Random(f"{name} {self.site.seed} {len(self.site.caller_records.jobs)}")
         pause_s = rng.expovariate(rate)
         while self.site.get_now_s() + pause_s < end_s:
             await asyncio.sleep(pause_s)
--- a/caroblead/bench/deployedfaults.py
+++ b/caroblead/bench/deployedfaults.py
@@ -29,6 +29,7 @@
 
 RESTART_S = (0.1, 0.5)
 FAULT_S = (1.0, 5.5)
+LONGEST_STORE_FAULT_S = 4.5
 KILL_AFTER_S = 7.0
 # How often a port that is to be taken is tried while its node still holds it.
 TAKE_PORT_S = 0.01
@@ -202,10 +203,17 @@
 
 
 async def slow_store_often(site: DeployedSite, rng: random.Random):
-    """Slows the store several times with short pauses."""
-    for _ in range(rng.randint(2, 5)):
-        await _spoil_store(site, site.nodes, StoreFault.SLOW, rng.uniform(1.0, 4.5))
-        await asyncio.sleep(rng.uniform(0.5, 3.0))
+    """Slows the store again and again with pauses."""
+    for _ in range(rng.randint(3, 7)):
+        await _spoil_store(site, site.nodes, StoreFault.SLOW, LONGEST_STORE_FAULT_S)
+        await asyncio.sleep(rng.uniform(1.5, 3.5))
+
+
+async def lose_answers_often(site: DeployedSite, rng: random.Random):
+    """Loses answers of the store again and again with pauses."""
+    for _ in range(rng.randint(3, 10)):
+        await _spoil_store(site, site.nodes, StoreFault.LOST, LONGEST_STORE_FAULT_S)
+        await asyncio.sleep(rng.uniform(1.5, 3.5))
 
 
 async def spoil_store_of_some(site: DeployedSite, rng: random.Random):
@@ -255,6 +263,7 @@
     spoil_store,
     spoil_store,
     slow_store_often,
+    lose_answers_often,
     spoil_store_of_some,
     crash_vms,
     slow_vms,
--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -197,7 +197,9 @@
     topic.append([KeyedRecord(configuration.KEY, document)], None)
 
 
-async def start_site(seed: int, folder: Path, program: Path = ROOT) -> DeployedSite:
+async def start_site(
+    seed: int, folder: Path, program: Path = ROOT, vm_count: int = VM_COUNT
+) -> DeployedSite:
     """Starts the stand-ins and the nodes."""
     records = CallerRecords()
     simulator = VmSimulator(make_behavior_lookup(records.jobs))
@@ -205,7 +207,7 @@
     platform.allowed_fractions = ALLOWED_FRACTIONS
     network = choose_network()
     site = DeployedSite(seed, folder, program, network, random.Random(seed), platform, records)
-    vms = [make_vm(network, number) for number in range(VM_COUNT)]
+    vms = [make_vm(network, number) for number in range(vm_count)]
     hosts = [site.get_store_host(node) for node in site.nodes]
     hosts += [vm.address.split(":")[0] for vm in vms]
     await platform.start(hosts, PLATFORM_PORT)
--- a/caroblead/bench/deployedsoak.py
+++ b/caroblead/bench/deployedsoak.py
@@ -33,6 +33,7 @@
 from .deployedsite import (
     ROOT,
     VM_CAPACITY,
+    VM_COUNT,
     DeployedSite,
     publish_configuration,
     start_site,
@@ -40,6 +41,8 @@
 )
 
 TRAFFIC_S = 34.0
+# Traffic goes on while something still happens to the site, in parts of so long.
+TRAFFIC_STEP_S = 2.0
 FINISH_S = 14.0
 LEAD_S = 12.0
 READY_CHECK_S = 0.2
@@ -60,7 +63,7 @@
     other: list[str] = field(default_factory=list)
 
 
-async def _play(site: DeployedSite, callers: Callers, events: list, final: bool):
+async def _play(site: DeployedSite, callers: Callers, events: list, final: bool, load: float):
     generator = site.generator
 
     async def do_later(event, at_s: float, seed: int):
@@ -76,7 +79,9 @@
     ]
     if final:
         running.append(asyncio.create_task(_end_day(site, random.Random(generator.random()))))
-    await callers.send_traffic(TRAFFIC_S)
+    await callers.send_traffic(TRAFFIC_S, load)
+    while not all(task.done() for task in running):
+        await callers.send_traffic(TRAFFIC_STEP_S, load)
     await asyncio.gather(*running)
 
 
@@ -123,16 +128,16 @@
 
 
 async def run_deployed_soak(
-    seed: int, folder: Path, events: list, final: bool, program: Path = ROOT
+    seed: int, folder: Path, events: list, final: bool, program: Path = ROOT, size: float = 1.0
 ) -> Outcome:
-    """Runs one seed and returns what it showed."""
-    site = await start_site(seed, folder, program)
+    """Runs one seed and returns what it showed; ``size`` multiplies the VMs and the load."""
+    site = await start_site(seed, folder, program, round(VM_COUNT * size))
     callers = Callers(site, Balancer(site))
     supervisors = [asyncio.create_task(supervise(site, node)) for node in site.nodes]
     try:
         await _wait_until_ready(site, callers.balancer)
         callers.start()
-        await _play(site, callers, events, final)
+        await _play(site, callers, events, final, size)
         return await _judge(site, callers)
     finally:
         await callers.close()
@@ -159,6 +164,7 @@
     final: bool = True,
     only: str = "",
     program: Path = ROOT,
+    size: float = 1.0,
     keep: Path = Path("build/deployedsoak"),
 ):
     """Runs a range of seeds and exits with 1 if any of them lost something or broke an invariant.
@@ -181,6 +187,8 @@
         Names of events, joined by commas, that are played in place of drawn ones.
     program
         The folder of the repository whose program runs.
+    size
+        By how much the number of VMs and the load are multiplied.
     keep
         The directory in which the logs of runs with problems are kept.
     """
@@ -190,7 +198,7 @@
         if only:
             events = [EVENTS[name] for name in only.split(",")]
         with tempfile.TemporaryDirectory() as name:
-            run = run_deployed_soak(seed, Path(name), events, final, program.resolve())
+            run = run_deployed_soak(seed, Path(name), events, final, program.resolve(), size)
             outcome = asyncio.run(run)
             _report(seed, outcome)
             if outcome.lost or outcome.other:
@@ -206,7 +214,8 @@
     print(
         f"seed {seed}: {len(site.caller_records.accepted)} accepted of"
         f" {len(site.caller_records.jobs)}, {statuses}, {', '.join(site.faults)}:"
-        f" LOST {len(outcome.lost)}, other {len(outcome.other)}",
+        f" cut off {len(site.observations.cuts)}, LOST {len(outcome.lost)},"
+        f" other {len(outcome.other)}",
         flush=True,
     )
     for problem in (*outcome.lost[:8], *outcome.other[:8]):
--- a/caroblead/standin/deployedplatform.py
+++ b/caroblead/standin/deployedplatform.py
@@ -20,6 +20,8 @@
 from .vmsimulator import VmSimulator
 
 STORE_ANSWER_S = 0.004
+# How many times as long as usual a slow store takes.
+SLOWNESS = 60.0
 # A call to a VM or a store that is silent is kept open for this long.
 SILENCE_S = 12.0
 # The fraction of the VMs that the advice service allows for the steps of a queue.
@@ -30,7 +32,7 @@
     """How the store treats the calls of a node.
 
     ``REFUSE`` answers with 503, ``RESET`` closes the connection, ``SILENT`` never answers, ``SLOW``
-    answers late, and ``LOST`` executes some calls without an answer.
+    takes many times as long for each call, and ``LOST`` executes some calls without an answer.
     """
 
     REFUSE = "refuse"
@@ -44,7 +46,7 @@
     """Store, VMs and advice service of a site.
 
     ``store_faults`` holds how the store treats a node, by the address at which that node calls it,
-    ``slow_s`` how late a slow store answers, ``lost_fraction`` which part of its answers gets lost.
+    and ``lost_fraction`` which part of its answers gets lost.
     ``allowed_fractions`` is the part of the VMs that is allowed for the steps of a queue, by name.
     """
 
@@ -55,7 +57,6 @@
         self.caller_records = caller_records
         self.generator = random.Random(f"platform {seed}")
         self.store_faults: dict[str, StoreFault] = {}
-        self.slow_s = 0.25
         self.lost_fraction = 0.35
         self.allowed_fractions: dict[str, float] = {}
         self.late_order_fraction = 0.0
@@ -69,7 +70,8 @@
             return web.Response(status=503)
         if fault in (StoreFault.SILENT, StoreFault.RESET):
             return await self._break_off(request, fault is StoreFault.SILENT)
-        await asyncio.sleep(self.slow_s if fault is StoreFault.SLOW else STORE_ANSWER_S)
+        self.slowness = SLOWNESS if StoreFault.SLOW in self.store_faults.values() else 1.0
+        await asyncio.sleep(STORE_ANSWER_S * self.slowness)
         response = await super()._serve(request)
         if fault is StoreFault.LOST and self.generator.random() < self.lost_fraction:
             return await self._break_off(request, True)
--- a/caroblead/standin/limits.py
+++ b/caroblead/standin/limits.py
@@ -59,10 +59,14 @@
     def __init__(self):
         self.busy_until_s = 0.0
 
-    def enqueue(self, size: int, now_s: float) -> float | None:
-        """Returns how long an append of so many bytes takes, ``None`` if it is turned away."""
+    def enqueue(self, size: int, now_s: float, slowness: float = 1.0) -> float | None:
+        """Returns how long an append of so many bytes takes, ``None`` if it is turned away.
+
+        It takes ``slowness`` times as long as usual.
+        """
         begins_s = max(now_s, self.busy_until_s)
         if begins_s - now_s > MAX_APPEND_DELAY_S:
             return None
-        self.busy_until_s = begins_s + APPEND_S + size / PARTITION_BYTES_PER_S
+        usual_s = APPEND_S + size / PARTITION_BYTES_PER_S
+        self.busy_until_s = begins_s + usual_s * slowness
         return self.busy_until_s - now_s
--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -60,6 +60,7 @@
     200 is the response to every call, which then has no effect. The topics have ``limits``, and a
     page of newest records has ``keys_per_page`` at most. The advice service answers one call of
     each machine at a time, in ``advice_s``; a machine is known by the address that it calls.
+    Appends take ``slowness`` times as long as usual.
     """
 
     def __init__(self, vm_simulator: VmSimulator | None = None, limits: LogLimits = LogLimits()):
@@ -71,6 +72,7 @@
         self.keys_per_page = MAX_KEYS_PER_PAGE
         self.rate = CallRate()
         self.partitions: defaultdict[str, Partition] = defaultdict(Partition)
+        self.slowness = 1.0
         self.advice_s = 0.0
         self.advice_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.open_questions: Counter[str] = Counter()
@@ -93,7 +95,10 @@
         if self.status != 200:
             return web.Response(status=self.status)
         call = request.path.rsplit("/", 1)[1].replace("-", "_")
-        body = await request.read()
+        try:
+            body = await request.read()
+        except ConnectionError:
+            return web.Response(status=400)
         if not self.rate.admit(call, get_elapsed_s()):
             return web.Response(status=429)
         try:
@@ -122,7 +127,8 @@
             record, body = body[4 : 4 + size], body[4 + size :]
             end = 1 + record[0]
             records.append(KeyedRecord(record[1:end].decode(), record[end:]))
-        delay_s = self.partitions[request.query["topic"]].enqueue(size, get_elapsed_s())
+        partition = self.partitions[request.query["topic"]]
+        delay_s = partition.enqueue(size, get_elapsed_s(), self.slowness)
         if delay_s is None:
             return web.Response(status=503)
         await asyncio.sleep(delay_s)
