Soaks and process tests have loopback addresses of their own, and the settings of the deploy file

Each site now has a network of its own in 127.0.0.0/8 and the ports of the deploy file, and its settings come from the template of the deploy file, so the soaks run all switches that the users run.

--- a/caroblead/bench/deployedcallers.py
+++ b/caroblead/bench/deployedcallers.py
@@ -98,21 +98,21 @@
                 await self.connection.send(request, 0.0)
                 status, headers, answer = await _read_response(self.connection)
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            self._drop()
+            self.drop()
             now_s = self.site.get_now_s()
             cut = CutRequest(node, method, job, sent_s, now_s, type(error).__name__)
             self.site.observations.cuts.append(cut)
             return node, 0, {}
         self.statuses[method, status] += 1
         if headers.get("connection") == "close":
-            self._drop()
+            self.drop()
         if "retry-after" in headers:
             answer["retry_after_s"] = float(headers["retry-after"])
         return node, status, answer
 
     async def _connect(self) -> str:
         if self.connection is not None and self.connection.reader.at_eof():
-            self._drop()
+            self.drop()
         if self.connection is not None:
             return self.connection.node
         self.connections += 1
@@ -125,7 +125,8 @@
             self.statuses["connect", 0] += 1
         return node
 
-    def _drop(self):
+    def drop(self):
+        """Closes the connection, if there is one."""
         if self.connection is not None:
             self.connection.writer.close()
         self.connection = None
@@ -271,3 +272,5 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for caller in self.all:
+            caller.drop()
--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -9,7 +9,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tomllib
@@ -25,6 +24,7 @@
 from ..standin.caller import encode_configuration, encode_vm_entry
 from ..standin.deployedplatform import DeployedPlatform, StoreFault
 from ..standin.lostcheck import Observations
+from ..standin.network import choose_network
 from ..standin.template import fill_template
 from ..standin.verdict import CallerRecords
 from ..standin.vmsimulator import VmSimulator
@@ -112,24 +112,14 @@
         return NODE_ZONES[int(node[1:])]
 
 
-def choose_network() -> str:
-    """Returns the beginning of loopback addresses that nothing listens at."""
-    generator = random.Random(os.urandom(8))
-    while True:
-        network = f"127.{generator.randint(2, 254)}.{generator.randint(1, 254)}"
-        try:
-            with socket.create_server((f"{network}.101", PLATFORM_PORT)):
-                return network
-        except OSError:
-            continue
+def make_template_values(node: str, zone: str, host: str, store: str) -> dict:
+    """Returns the fields from which the platform fills in the template of a node's settings.
 
-
-def make_values(site: DeployedSite, node: str) -> dict:
-    """Returns the fields from which the platform fills in the template of the settings."""
-    host, store = site.get_host(node), f"{site.get_store_host(node)}:{PLATFORM_PORT}"
+    The node is at the address ``host``, and reaches the store and the advice service at ``store``.
+    """
     return {
         "nodeName": node,
-        "zone": site.find_zone(node),
+        "zone": zone,
         "ip": host,
         "internalPorts": list(INTERNAL_PORTS),
         "listen": {
@@ -151,7 +141,9 @@
 def write_settings(site: DeployedSite, node: str):
     """Writes the settings of a node, made from the template of the deploy file."""
     template = (site.program / "deploy" / "settings.json").read_text()
-    (site.folder / f"{node}.json").write_text(fill_template(template, make_values(site, node)))
+    store = f"{site.get_store_host(node)}:{PLATFORM_PORT}"
+    values = make_template_values(node, site.find_zone(node), site.get_host(node), store)
+    (site.folder / f"{node}.json").write_text(fill_template(template, values))
 
 
 def start_process(site: DeployedSite, node: str):
--- a/caroblead/bench/soaksite.py
+++ b/caroblead/bench/soaksite.py
@@ -9,8 +9,6 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-import orjson
-
 from ..dispatch.interface import LogLimits
 from ..jobs.record import KeyedRecord
 from ..platform import configuration, registry
@@ -18,14 +16,15 @@
 from ..standin.caller import encode_configuration, encode_vm_entry
 from ..standin.cluster import KEY, QUEUES, make_listed_vm
 from ..standin.keyedlog import MemoryTopic
+from ..standin.network import choose_network
 from ..standin.platform import HttpPlatform
 from ..standin.proxy import Proxy
+from ..standin.template import fill_template
 from ..standin.verdict import CallerRecords
 from ..standin.vmsimulator import VmSimulator
 from ..standin.work import make_behavior_lookup
-from ..tools.localsite import choose_ports
+from .deployedsite import CALLERS_PORT, ROOT, make_template_values
 
-HOST = "127.0.0.1"
 NODE_COUNT = 4
 VM_COUNT = 5
 # Small enough for the progress of some jobs to take several records.
@@ -43,6 +42,7 @@
     platform: HttpPlatform
     vm_simulator: VmSimulator
     caller_records: CallerRecords
+    network: str = field(default_factory=choose_network)
     frontends: dict[str, str] = field(default_factory=dict)
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
     vm_proxies: dict[str, Proxy] = field(default_factory=dict)
@@ -66,23 +66,19 @@
         )
 
 
-def write_settings(soak: SoakRun, name: str):
+def write_settings(soak: SoakRun, name: str, number: int):
     """Writes the settings of a node, which reaches the store through its own proxy."""
-    callers, readiness, peers, metrics = choose_ports(4)
-    soak.frontends[name] = f"{HOST}:{callers}"
-    settings = {
-        "node": name,
-        "zone": "a",
-        "host": HOST,
-        "callers": f"{HOST}:{callers}",
-        "readiness": f"{HOST}:{readiness}",
-        "peer_port": peers,
-        "metrics_port": metrics,
-        "store": soak.store_proxies[name].address,
-        "record_bytes": LIMITS.record_bytes,
-        "request_bytes": LIMITS.call_bytes,
+    host = f"{soak.network}.{1 + number}"
+    soak.frontends[name] = f"{host}:{CALLERS_PORT}"
+    store = soak.store_proxies[name].address
+    values = make_template_values(name, "a", host, store)
+    values["platform"] = {
+        "address": store,
+        "recordBytes": LIMITS.record_bytes,
+        "requestBytes": LIMITS.call_bytes,
     }
-    (soak.folder / f"{name}.json").write_bytes(orjson.dumps(settings))
+    template = (ROOT / "deploy" / "settings.json").read_text()
+    (soak.folder / f"{name}.json").write_text(fill_template(template, values))
 
 
 async def start_soak(seed: int, folder: Path) -> SoakRun:
@@ -106,7 +102,7 @@
         name = f"n{number}"
         proxy = soak.store_proxies[name] = Proxy(host, int(port))
         await proxy.start()
-        write_settings(soak, name)
+        write_settings(soak, name, number)
         start_process(soak, name)
     return soak
 
--- a/caroblead/platform/signal_test.py
+++ b/caroblead/platform/signal_test.py
@@ -8,10 +8,9 @@
 
 import pytest
 
-from ..tools.localsite import choose_ports
+from ..standin.network import choose_network
 from .serve import SETTINGS_VARIABLE
 
-HOST = "127.0.0.1"
 GRACE_S = 0.5
 LIFETIME_S = 30.0
 # Runs the node program, which sends itself signals when it gets to a certain function.
@@ -33,16 +32,17 @@
     """The node program as a process, without a store that answers."""
 
     def __init__(self, folder, function: str, names: list[str]):
-        callers, readiness, peers, metrics, store = choose_ports(5)
+        callers, readiness, peers, metrics, store = 8183, 8184, 7420, 9464, 8182
+        host = f"{choose_network()}.1"
         self.settings = {
             "node": "n0",
             "zone": "a",
-            "host": HOST,
-            "callers": f"{HOST}:{callers}",
-            "readiness": f"{HOST}:{readiness}",
+            "host": host,
+            "callers": f"{host}:{callers}",
+            "readiness": f"{host}:{readiness}",
             "peer_port": peers,
             "metrics_port": metrics,
-            "store": f"{HOST}:{store}",
+            "store": f"{host}:{store}",
             "grace_s": GRACE_S,
         }
         path = folder / "n0.json"
--- a/caroblead/platform/start_test.py
+++ b/caroblead/platform/start_test.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import random
 import signal
 import socket
 import subprocess
@@ -10,6 +9,7 @@
 
 import pytest
 
+from ..standin.network import choose_network
 from .serve import SETTINGS_VARIABLE
 
 PORTS = {"callers": 8183, "readiness": 8184, "peers": 7420, "metrics": 9464, "store": 8182}
@@ -22,18 +22,6 @@
 )
 
 
-def choose_host() -> str:
-    """Returns a loopback address whose ports are all free."""
-    while True:
-        host = f"127.{random.randint(2, 254)}.{random.randint(1, 254)}.1"
-        try:
-            for port in PORTS.values():
-                socket.create_server((host, port)).close()
-            return host
-        except OSError:
-            continue
-
-
 def start_node(folder, host: str, **changed) -> subprocess.Popen:
     """Starts the node program, whose store doesn't answer."""
     settings = {
@@ -84,7 +72,7 @@
 
 @pytest.mark.parametrize("port", ["metrics", "readiness", "peers"])
 def test_port_that_is_taken_takes_no_request_along(tmp_path, port):
-    host = choose_host()
+    host = f"{choose_network()}.1"
 
     async def scenario() -> bytes:
         with socket.create_server((host, PORTS[port])):
@@ -99,7 +87,7 @@
 
 
 def test_metrics_are_served_as_soon_as_their_port_is_free(tmp_path):
-    host = choose_host()
+    host = f"{choose_network()}.1"
 
     async def scenario() -> bytes:
         with socket.create_server((host, PORTS["metrics"])):
@@ -132,7 +120,7 @@
 
 
 def test_settings_that_are_invalid_take_no_request_along(tmp_path):
-    host = choose_host()
+    host = f"{choose_network()}.1"
 
     async def scenario() -> int:
         process = start_node(tmp_path, host, lease_s=-1)
@@ -143,7 +131,7 @@
 
 
 def test_stop_while_the_program_is_loaded_takes_no_request_along(tmp_path):
-    host = choose_host()
+    host = f"{choose_network()}.1"
 
     async def scenario() -> tuple[bytes, int]:
         process = start_node(tmp_path, host)
