--- a/caroblead/bench/deployedcallers.py
+++ b/caroblead/bench/deployedcallers.py
@@ -16,13 +16,12 @@
 from ..core.resource import Resources
 from ..jobs.data import JobQueue, JobSpec, StepSpec
 from ..standin.caller import encode_step
-from ..standin.lostcheck import CutRequest, Poll
+from ..standin.lostcheck import TIME_LIMIT_S, CutRequest, Poll
 from ..standin.work import FAILS_EVERY_RUN, make_spec
 from .deployedsite import CALLERS_PORT, KEYS, QUEUES, READINESS_PORT, ZONES, DeployedSite
 from .plannedsoak import KeptConnection
 
 CALLERS_PER_ZONE = 14
-TIMEOUT_S = 3.0
 # How long callers wait for an answer beyond the time that they tell.
 PATIENCE_S = 0.5
 MAX_ATTEMPTS = 5
@@ -94,7 +93,7 @@
         request = _encode_request(method, queue, job, body)
         sent_s = self.site.get_now_s()
         try:
-            async with asyncio.timeout(TIMEOUT_S + PATIENCE_S):
+            async with asyncio.timeout(TIME_LIMIT_S + PATIENCE_S):
                 await self.connection.send(request, 0.0)
                 status, headers, answer = await _read_response(self.connection)
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
@@ -118,7 +117,7 @@
         self.connections += 1
         node = self.balancer.choose(self.zone, f"{self.name}/{self.connections}")
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(TIME_LIMIT_S):
                 streams = await asyncio.open_connection(self.site.get_host(node), CALLERS_PORT)
             self.connection = KeptConnection(node, *streams)
         except (OSError, TimeoutError):
@@ -145,7 +144,7 @@
     key = KEYS[int(job, 16) % len(KEYS)]
     return (
         f"{method} {queue.path}{job} HTTP/1.1\r\nHost: {queue.host}\r\n"
-        f"Authorization: Bearer {key}\r\nDeadline-Ms: {int(TIMEOUT_S * 1000)}\r\n"
+        f"Authorization: Bearer {key}\r\nDeadline-Ms: {int(TIME_LIMIT_S * 1000)}\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
