--- a/caroblead/bench/deployedcallers.py
+++ b/caroblead/bench/deployedcallers.py
@@ -56,9 +56,8 @@
         status = 0
         try:
             async with asyncio.timeout(READINESS_INTERVAL_S):
-                reader, writer = await asyncio.open_connection(
-                    self.site.get_host(node), READINESS_PORT
-                )
+                port = READINESS_PORT + self.site.get_port_offset(node)
+                reader, writer = await asyncio.open_connection(self.site.get_host(node), port)
                 writer.write(request)
                 line = await reader.readline()
                 status = int(line.split()[1])
@@ -118,7 +117,8 @@
         node = self.balancer.choose(self.zone, f"{self.name}/{self.connections}")
         try:
             async with asyncio.timeout(TIME_LIMIT_S):
-                streams = await asyncio.open_connection(self.site.get_host(node), CALLERS_PORT)
+                port = CALLERS_PORT + self.site.get_port_offset(node)
+                streams = await asyncio.open_connection(self.site.get_host(node), port)
             self.connection = KeptConnection(node, *streams)
         except (OSError, TimeoutError):
             self.statuses["connect", 0] += 1
--- a/caroblead/bench/deployedfaults.py
+++ b/caroblead/bench/deployedfaults.py
@@ -97,7 +97,8 @@
 async def stop_with_port_taken(site: DeployedSite, rng: random.Random):
     """Stops a node, and holds one of its ports for a while once it has let go of it."""
     node = rng.choice(site.nodes)
-    port = rng.choice((METRICS_PORT, READINESS_PORT, INTERNAL_PORTS[0]))
+    offset = site.get_port_offset(node)
+    port = rng.choice((METRICS_PORT, READINESS_PORT + offset, INTERNAL_PORTS[0] + offset))
     stop = asyncio.create_task(stop_node(site, node))
     held_s = rng.uniform(1.0, 9.0)
     while held_s > 0:
@@ -147,7 +148,7 @@
 # Faults.
 
 
-async def _kill(site: DeployedSite, nodes: list[str], down_s: float, is_power: bool = False):
+async def _kill(site: DeployedSite, nodes: list[str], down_s: float):
     began_s = site.get_now_s()
     site.without_power.update(nodes)
     for node in nodes:
@@ -167,14 +168,24 @@
     await _kill(site, site.nodes, rng.uniform(0.1, 1.5))
 
 
+async def kill_again_and_again(site: DeployedSite, rng: random.Random):
+    """Kills most nodes again and again, each soon after its start, as nodes that crash do."""
+    nodes, began_s = rng.sample(site.nodes, rng.randint(1, 7)), site.get_now_s()
+    for _ in range(rng.randint(4, 10)):
+        for node in nodes:
+            send_signal(site, node, signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+    disturb(site, nodes, began_s)
+
+
 async def cut_power(site: DeployedSite, rng: random.Random):
-    """Takes the power from all nodes and all VMs at the same moment."""
-    down_s = rng.uniform(0.5, 3.0)
+    """Takes the power from all nodes and all VMs at the same moment; VMs come back one by one."""
+    down_s, spread_s = rng.uniform(0.5, 3.0), rng.choice((0.3, 1.0, 6.0))
     vms = [
-        crash_vm(site, name, down_s * rng.uniform(0.9, 1.3))
+        crash_vm(site, name, down_s + rng.uniform(0.0, spread_s))
         for name in site.platform.vm_simulator.vms
     ]
-    await asyncio.gather(_kill(site, site.nodes, down_s, True), *vms)
+    await asyncio.gather(_kill(site, site.nodes, down_s), *vms)
 
 
 async def freeze_some(site: DeployedSite, rng: random.Random):
@@ -257,6 +268,7 @@
     kill_some,
     kill_some,
     kill_all,
+    kill_again_and_again,
     cut_power,
     cut_power,
     freeze_some,
--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -33,6 +33,8 @@
 ROOT = Path(__file__).parents[2]
 CALLERS_PORT, READINESS_PORT, PLATFORM_PORT = 8183, 8184, 8182
 INTERNAL_PORTS = (7420, 7435)
+# How far the ports of two nodes at one address are apart.
+PORTS_PER_NODE = 20
 # As the deploy file's template has it.
 METRICS_PORT = 9464
 # The zone of each node.
@@ -71,14 +73,16 @@
     """One run: the stand-ins, the processes, and what callers saw.
 
     ``network`` is the beginning of all addresses, such as ``127.7.9``. ``program`` is the folder of
-    the repository whose program and deploy file run. ``exits`` holds when which node ended, with
-    its status. Nodes that are ``without_power`` aren't started again.
+    the repository whose program and deploy file run. With ``one_host`` all nodes share an address,
+    and the port of the metrics, which the deploy file fixes. ``exits`` holds when which node ended,
+    with its status. Nodes that are ``without_power`` aren't started again.
     """
 
     seed: int
     folder: Path
     program: Path
     network: str
+    one_host: bool
     generator: random.Random
     platform: DeployedPlatform
     caller_records: CallerRecords
@@ -97,7 +101,11 @@
 
     def get_host(self, node: str) -> str:
         """Returns the address of a node."""
-        return f"{self.network}.{1 + int(node[1:])}"
+        return f"{self.network}.{1 if self.one_host else 1 + int(node[1:])}"
+
+    def get_port_offset(self, node: str) -> int:
+        """Returns what is added to the usual ports of a node."""
+        return PORTS_PER_NODE * int(node[1:]) if self.one_host else 0
 
     def get_store_host(self, node: str) -> str:
         """Returns the address at which a node reaches the store and the advice service."""
@@ -112,19 +120,20 @@
         return NODE_ZONES[int(node[1:])]
 
 
-def make_template_values(node: str, zone: str, host: str, store: str) -> dict:
+def make_template_values(node: str, zone: str, host: str, store: str, offset: int = 0) -> dict:
     """Returns the fields from which the platform fills in the template of a node's settings.
 
     The node is at the address ``host``, and reaches the store and the advice service at ``store``.
+    Its ports are the usual ones plus ``offset``.
     """
     return {
         "nodeName": node,
         "zone": zone,
         "ip": host,
-        "internalPorts": list(INTERNAL_PORTS),
+        "internalPorts": [port + offset for port in INTERNAL_PORTS],
         "listen": {
-            "frontend": f"{host}:{CALLERS_PORT}",
-            "readiness": f"{host}:{READINESS_PORT}",
+            "frontend": f"{host}:{CALLERS_PORT + offset}",
+            "readiness": f"{host}:{READINESS_PORT + offset}",
         },
         "recommendation": store,
         "platform": {"address": store, "recordBytes": 262_144, "requestBytes": 2_097_152},
@@ -142,7 +151,8 @@
     """Writes the settings of a node, made from the template of the deploy file."""
     template = (site.program / "deploy" / "settings.json").read_text()
     store = f"{site.get_store_host(node)}:{PLATFORM_PORT}"
-    values = make_template_values(node, site.find_zone(node), site.get_host(node), store)
+    zone, host = site.find_zone(node), site.get_host(node)
+    values = make_template_values(node, zone, host, store, site.get_port_offset(node))
     (site.folder / f"{node}.json").write_text(fill_template(template, values))
 
 
@@ -190,7 +200,11 @@
 
 
 async def start_site(
-    seed: int, folder: Path, program: Path = ROOT, vm_count: int = VM_COUNT
+    seed: int,
+    folder: Path,
+    program: Path = ROOT,
+    vm_count: int = VM_COUNT,
+    one_host: bool = False,
 ) -> DeployedSite:
     """Starts the stand-ins and the nodes."""
     records = CallerRecords()
@@ -198,7 +212,9 @@
     platform = DeployedPlatform(simulator, LogLimits(), records, seed)
     platform.allowed_fractions = ALLOWED_FRACTIONS
     network = choose_network()
-    site = DeployedSite(seed, folder, program, network, random.Random(seed), platform, records)
+    site = DeployedSite(
+        seed, folder, program, network, one_host, random.Random(seed), platform, records
+    )
     vms = [make_vm(network, number) for number in range(vm_count)]
     hosts = [site.get_store_host(node) for node in site.nodes]
     hosts += [vm.address.split(":")[0] for vm in vms]
--- a/caroblead/bench/deployedsoak.py
+++ b/caroblead/bench/deployedsoak.py
@@ -128,10 +128,16 @@
 
 
 async def run_deployed_soak(
-    seed: int, folder: Path, events: list, final: bool, program: Path = ROOT, size: float = 1.0
+    seed: int,
+    folder: Path,
+    events: list,
+    final: bool,
+    program: Path = ROOT,
+    size: float = 1.0,
+    one_host: bool = False,
 ) -> Outcome:
     """Runs one seed and returns what it showed; ``size`` multiplies the VMs and the load."""
-    site = await start_site(seed, folder, program, round(VM_COUNT * size))
+    site = await start_site(seed, folder, program, round(VM_COUNT * size), one_host)
     callers = Callers(site, Balancer(site))
     supervisors = [asyncio.create_task(supervise(site, node)) for node in site.nodes]
     try:
@@ -165,6 +171,7 @@
     only: str = "",
     program: Path = ROOT,
     size: float = 1.0,
+    one_host: bool = False,
     keep: Path = Path("build/deployedsoak"),
 ):
     """Runs a range of seeds and exits with 1 if any of them lost something or broke an invariant.
@@ -189,6 +196,8 @@
         The folder of the repository whose program runs.
     size
         By how much the number of VMs and the load are multiplied.
+    one_host
+        Whether all nodes share an address, and the port of the metrics.
     keep
         The directory in which the logs of runs with problems are kept.
     """
@@ -198,7 +207,9 @@
         if only:
             events = [EVENTS[name] for name in only.split(",")]
         with tempfile.TemporaryDirectory() as name:
-            run = run_deployed_soak(seed, Path(name), events, final, program.resolve(), size)
+            run = run_deployed_soak(
+                seed, Path(name), events, final, program.resolve(), size, one_host
+            )
             outcome = asyncio.run(run)
             _report(seed, outcome)
             if outcome.lost or outcome.other:
