A start that fails drains the callers that it has accepted

What callers saw: any error between the opening of the callers' port and node:started ended the process at once, with the calls that it had accepted or that waited in its socket.

Now callers are served first, and a node that can't start is stopped as by SIGTERM: it answers what it has accepted (503, it can store nothing), logs node:not_started, and ends with status 1. The ports that are taken were the known case of it; this is the class.

start_test.py, test_start_that_fails_takes_no_request_along, fails without the change for an error in the node's start and in that of its metrics: the answer is empty.

--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -98,15 +98,14 @@
     )
 
 
-async def serve_metrics(node: Node) -> Listener:
-    """Serves the metrics of the node over HTTP, as text."""
+async def answer_metrics(node: Node) -> web.Response:
+    """Returns the metrics of the node as text."""
+    return web.Response(text=write_metrics(node))
 
-    async def answer(request: web.BaseRequest) -> web.Response:
-        return web.Response(text=write_metrics(node))
 
-    listener = Listener(answer, "metrics")
+async def start_metrics(node: Node, listener: Listener):
+    """Serves the metrics of the node over HTTP."""
     await listener.start(node.settings.host, node.settings.metrics_port)
-    return listener
 
 
 async def serve(path: str, caller_socket: socket.socket | None, stop: StopRequest):
@@ -128,18 +127,40 @@
     frontend = Frontend(
         node.request_handler, node.is_ready, node.metrics, make_relay(node, relay_http)
     )
-    await node.start()
+    metrics_listener = Listener(lambda request: answer_metrics(node), "metrics")
+    # Callers may be waiting since before the program was loaded.
     await frontend.start(settings.callers, settings.readiness, caller_socket)
-    metrics_listener = await serve_metrics(node)
+    error = await run_until_stopped(node, metrics_listener, stop)
+    try:
+        await node.drain(frontend, stop.requested_s)
+    finally:
+        await frontend.stop_listening(node.settings.grace_s * CLOSE_FRACTION)
+        await metrics_listener.close(CLOSE_METRICS_S)
+        await node.close()
+        await store_http.close()
+        await vm_http.close()
+        await relay_http.close()
+    if error is not None:
+        raise error
+
+
+async def run_until_stopped(
+    node: Node, metrics_listener: Listener, stop: StopRequest
+) -> Exception | None:
+    """Starts a node and returns when it is to stop, or the error for which it must.
+
+    A node that can't start is stopped in the planned way, since callers may have been accepted.
+    """
+    try:
+        await node.start()
+        await start_metrics(node, metrics_listener)
+    except Exception as error:
+        log("node:not_started", error=f"{type(error).__name__}: {error}")
+        stop.request()
+        return error
     log("node:started", incarnation=node.election.incarnation)
-    requested_s = await stop.wait()
-    await node.drain(frontend, requested_s)
-    await frontend.stop_listening(node.settings.grace_s * CLOSE_FRACTION)
-    await metrics_listener.close(CLOSE_METRICS_S)
-    await node.close()
-    await store_http.close()
-    await vm_http.close()
-    await relay_http.close()
+    await stop.wait()
+    return None
 
 
 def reload_settings(path: str, node: Node):
--- a/caroblead/platform/signal_test.py
+++ b/caroblead/platform/signal_test.py
@@ -70,7 +70,7 @@
 
 
 @pytest.mark.parametrize(
-    "function", ["gc.disable", "serve.load_settings_or_exit", "serve.serve_metrics"]
+    "function", ["gc.disable", "serve.load_settings_or_exit", "serve.start_metrics"]
 )
 def test_reload_that_is_requested_during_the_start_does_not_end_the_process(tmp_path, function):
     node = NodeProcess(tmp_path, function, ["SIGHUP"])
@@ -87,7 +87,7 @@
 
 
 def test_stop_that_is_requested_while_the_node_already_listens_drains_it(tmp_path):
-    node = NodeProcess(tmp_path, "serve.serve_metrics", ["SIGTERM"])
+    node = NodeProcess(tmp_path, "serve.start_metrics", ["SIGTERM"])
     assert node.wait_for_line("node:stopped")
     assert node.wait_for_end() == 0
 
--- a/caroblead/platform/start_test.py
+++ b/caroblead/platform/start_test.py
@@ -22,8 +22,8 @@
 )
 
 
-def start_node(folder, host: str, **changed) -> subprocess.Popen:
-    """Starts the node program, whose store doesn't answer."""
+def start_node(folder, host: str, program: str = "", **changed) -> subprocess.Popen:
+    """Starts the node program, or a variant of it, whose store doesn't answer."""
     settings = {
         "node": "n0",
         "zone": "a",
@@ -38,7 +38,7 @@
     path = folder / "n0.json"
     path.write_text(json.dumps({**settings, **changed}))
     return subprocess.Popen(
-        [sys.executable, "-m", "caroblead.platform"],
+        [sys.executable, *(("-c", program) if program else ("-m", "caroblead.platform"))],
         env={SETTINGS_VARIABLE: str(path)},
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
@@ -145,3 +145,30 @@
     answer, status = asyncio.run(scenario())
     assert b" 503 " in answer
     assert status == 0
+
+
+# A program that fails after it has listened for callers.
+FAILING_PROGRAM = """
+from caroblead.platform import __main__, serve
+async def fail(*arguments):
+    raise RuntimeError("out of luck")
+{function} = fail
+__main__.main()
+"""
+
+
+@pytest.mark.parametrize("function", ["serve.Node.start", "serve.start_metrics"])
+def test_start_that_fails_takes_no_request_along(tmp_path, function):
+    host = f"{choose_network()}.1"
+
+    async def scenario() -> tuple[bytes, int]:
+        process = start_node(tmp_path, host, FAILING_PROGRAM.format(function=function))
+        try:
+            answer = await ask(await connect(host, process))
+            return answer, await asyncio.to_thread(process.wait, START_TIMEOUT_S)
+        finally:
+            process.kill()
+
+    answer, status = asyncio.run(scenario())
+    assert b" 503 " in answer
+    assert status == 1
--- a/caroblead/platform/stoprequest.py
+++ b/caroblead/platform/stoprequest.py
@@ -39,7 +39,6 @@
         if self.requested_s is not None:
             self.event.set()
 
-    async def wait(self) -> float:
-        """Returns when the stop was requested, once it is."""
+    async def wait(self):
+        """Returns once the stop is requested."""
         await self.event.wait()
-        return self.requested_s
