--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 soak: $(VENV)/ready
 	$(BIN)/python -m caroblead.bench.soak --seeds 50
 	$(BIN)/python -m caroblead.bench.plannedsoak --seeds 10
+	$(BIN)/python -m caroblead.bench.deployedsoak --seeds 10
 
 lint: $(VENV)/ready
 	$(BIN)/black --check --quiet caroblead
