No signal ends a node that listens already, or is about to

SIGHUP is now ignored, and SIGTERM noted, before anything but the signal module is imported, so before the port is opened. signal_test.py has the case (a SIGHUP when the port is about to be opened) and runs the whole main program now; it fails without the change.

--- a/caroblead/platform/__main__.py
+++ b/caroblead/platform/__main__.py
@@ -7,14 +7,13 @@
 The callers' port is opened first, so that calls wait for the start and aren't refused. A stop that
 is requested meanwhile waits for the start too, since these calls must be answered.
 
-A request to reload the settings that arrives before they are first read is ignored.
+A request to reload the settings that arrives before they are first read is ignored. Signals are
+noted first of all: without that, any of them ends the process.
 """
 
 import gc
 import os
-import signal
 
-from .earlysocket import open_caller_socket
 from .stoprequest import StopRequest
 
 # Names the file from which OpenSSL reads the trusted certificates.
@@ -24,7 +23,6 @@
 
 def load_program():
     """Imports the node program and returns the function that runs it."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     os.environ[CERTIFICATES_VARIABLE] = os.devnull
     gc.disable()
     # Imported only now, when the two settings above are in effect.
@@ -39,6 +37,9 @@
     """Opens the callers' port, loads the program and runs it."""
     stop = StopRequest()
     stop.note_signals()
+    # Imported only now, when no signal ends the process any more.
+    from .earlysocket import open_caller_socket
+
     caller_socket = open_caller_socket(os.environ.get(SETTINGS_VARIABLE, ""))
     load_program()(caller_socket, stop)
 
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -113,11 +113,10 @@
 
     Callers are served through ``caller_socket`` if it is given, which listens already.
     """
-    stop.handle_signals()
+    loop, stop_requested = asyncio.get_running_loop(), asyncio.Event()
+    stop.handle_signals(loop, stop_requested.set)
     # A signal during the start is handled at the next turn of the loop, when the node exists.
-    asyncio.get_running_loop().add_signal_handler(
-        signal.SIGHUP, lambda: reload_settings(path, node)
-    )
+    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(path, node))
     settings = load_settings_or_exit(path)
     install_sink(settings.node)
     log("node:starting", zone=settings.zone, lease_s=settings.lease_s)
@@ -130,7 +129,10 @@
     metrics_listener = Listener(lambda request: answer_metrics(node), "metrics")
     # Callers may be waiting since before the program was loaded.
     await frontend.start(settings.callers, settings.readiness, caller_socket)
-    error = await run_until_stopped(node, metrics_listener, stop)
+    error = await start_node(node, metrics_listener)
+    if error is None:
+        await stop_requested.wait()
+    stop.request()
     try:
         await node.drain(frontend, stop.requested_s)
     finally:
@@ -144,22 +146,18 @@
         raise error
 
 
-async def run_until_stopped(
-    node: Node, metrics_listener: Listener, stop: StopRequest
-) -> Exception | None:
-    """Starts a node and returns when it is to stop, or the error for which it must.
+async def start_node(node: Node, metrics_listener: Listener) -> Exception | None:
+    """Starts a node; returns the error that kept it from starting.
 
-    A node that can't start is stopped in the planned way, since callers may have been accepted.
+    Such a node is stopped in the planned way, since callers may have been accepted.
     """
     try:
         await node.start()
         await start_metrics(node, metrics_listener)
     except Exception as error:
         log("node:not_started", error=f"{type(error).__name__}: {error}")
-        stop.request()
         return error
     log("node:started", incarnation=node.election.incarnation)
-    await stop.wait()
     return None
 
 
--- a/caroblead/platform/signal_test.py
+++ b/caroblead/platform/signal_test.py
@@ -15,16 +15,15 @@
 LIFETIME_S = 30.0
 # Runs the node program, which sends itself signals when it gets to a certain function.
 PROGRAM = """
-import gc, os, signal
-from caroblead.platform import serve
-from caroblead.platform.__main__ import load_program
+import gc, os, signal, socket
+from caroblead.platform import __main__, serve
 inner = {function}
-def send_signals(*arguments):
+def send_signals(*arguments, **options):
     for name in {names}:
         os.kill(os.getpid(), getattr(signal, name))
-    return inner(*arguments)
+    return inner(*arguments, **options)
 {function} = send_signals
-load_program()()
+__main__.main()
 """
 
 
@@ -70,7 +69,13 @@
 
 
 @pytest.mark.parametrize(
-    "function", ["gc.disable", "serve.load_settings_or_exit", "serve.start_metrics"]
+    "function",
+    [
+        "socket.create_server",
+        "gc.disable",
+        "serve.load_settings_or_exit",
+        "serve.start_metrics",
+    ],
 )
 def test_reload_that_is_requested_during_the_start_does_not_end_the_process(tmp_path, function):
     node = NodeProcess(tmp_path, function, ["SIGHUP"])
--- a/caroblead/platform/stoprequest.py
+++ b/caroblead/platform/stoprequest.py
@@ -1,9 +1,12 @@
-"""A planned stop that may be requested before the program can handle it."""
+"""A planned stop that may be requested before the program can handle it.
 
-import asyncio
-import signal
+This is imported before all else, so that signals are noted soon after the process begins; it must
+import little.
+"""
 
-from ..core.clock import get_elapsed_s
+import signal
+import time
+from collections.abc import Callable
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -17,28 +20,29 @@
 
     def __init__(self):
         self.requested_s: float | None = None
-        self.event: asyncio.Event | None = None
+        self.on_request: Callable[[], None] | None = None
 
     def note_signals(self):
-        """Notes the signals that arrive while the program is being loaded."""
+        """Notes the signals that arrive while the program is being loaded.
+
+        A request to reload the settings is ignored, since they haven't been read yet.
+        """
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         for number in STOP_SIGNALS:
             signal.signal(number, lambda *arguments: self.request())
 
     def request(self):
         """Notes that the process is to stop; further requests change nothing."""
         if self.requested_s is None:
-            self.requested_s = get_elapsed_s()
-        if self.event is not None:
-            self.event.set()
-
-    def handle_signals(self):
-        """Handles the signals in the event loop from now on."""
-        self.event = asyncio.Event()
+            # The clock of core.clock, whose import takes longer than all else here.
+            self.requested_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        if self.on_request is not None:
+            self.on_request()
+
+    def handle_signals(self, loop, on_request: Callable[[], None]):
+        """Handles the signals in an event loop; ``on_request`` is called if one came or comes."""
+        self.on_request = on_request
         for number in STOP_SIGNALS:
-            asyncio.get_running_loop().add_signal_handler(number, self.request)
+            loop.add_signal_handler(number, self.request)
         if self.requested_s is not None:
-            self.event.set()
-
-    async def wait(self):
-        """Returns once the stop is requested."""
-        await self.event.wait()
+            on_request()
