--- a/caroblead/bench/deployedcallers.py
+++ b/caroblead/bench/deployedcallers.py
@@ -28,6 +28,8 @@
 RETRY_S = 0.3
 MAX_RETRY_AFTER_S = 3.0
 READINESS_INTERVAL_S = 1.0
+LAG_CHECK_S = 0.02
+MIN_LAG_S = 0.05
 MISSES_UNTIL_OUT = 2
 CANCELLED_FRACTION = 0.05
 ASKS = 3
@@ -192,12 +194,21 @@
     def start(self):
         """Creates the callers and starts the readiness checks."""
         self.tasks.append(asyncio.create_task(self.balancer.run()))
+        self.tasks.append(asyncio.create_task(self._measure_lags()))
         for number in range(CALLERS_PER_ZONE):
             for zone in ZONES:
                 caller = Caller(self.site, self.balancer, zone, f"{zone}-{number}")
                 self.all.append(caller)
                 self.free.put_nowait(caller)
 
+    async def _measure_lags(self):
+        """Records when this process ran late, so that it saw late what the nodes did."""
+        while True:
+            due_s = self.site.get_now_s() + LAG_CHECK_S
+            await asyncio.sleep(LAG_CHECK_S)
+            if self.site.get_now_s() > due_s + MIN_LAG_S:
+                self.site.observations.lags.append((due_s, self.site.get_now_s()))
+
     async def send(self, *request):
         """Sends a request through the caller that has been free for longest."""
         caller = await self.free.get()
--- a/caroblead/bench/deployedsoak.py
+++ b/caroblead/bench/deployedsoak.py
@@ -222,11 +222,12 @@
 def _report(seed: int, outcome: Outcome):
     site = outcome.site
     statuses = {f"{name} {status}": n for (name, status), n in sorted(outcome.statuses.items())}
+    lag_s = max((ended_s - began_s for began_s, ended_s in site.observations.lags), default=0.0)
     print(
         f"seed {seed}: {len(site.caller_records.accepted)} accepted of"
         f" {len(site.caller_records.jobs)}, {statuses}, {', '.join(site.faults)}:"
-        f" cut off {len(site.observations.cuts)}, LOST {len(outcome.lost)},"
-        f" other {len(outcome.other)}",
+        f" cut off {len(site.observations.cuts)}, longest lag of the callers {lag_s:.2f} s,"
+        f" LOST {len(outcome.lost)}, other {len(outcome.other)}",
         flush=True,
     )
     for problem in (*outcome.lost[:8], *outcome.other[:8]):
--- a/caroblead/standin/lostcheck_test.py
+++ b/caroblead/standin/lostcheck_test.py
@@ -46,6 +46,12 @@
         assert len(list_cut_requests(observations)) == lost
 
 
+def test_time_in_which_the_callers_did_not_run_proves_no_wait():
+    cut = CutRequest("n0", "POST", JOB, 10.0, 10.5, "IncompleteReadError")
+    for lag, lost in (((9.0, 10.1), 1), ((10.1, 10.45), 0), ((10.4, 11.0), 1), ((9.0, 11.0), 0)):
+        assert len(list_cut_requests(Observations(cuts=[cut], lags=[lag]))) == lost
+
+
 def test_accepted_job_that_is_denied_is_lost():
     observations = Observations(accepted_s={JOB: 1.0})
     observations.polls = [Poll("n0", JOB, 3.0, "status 410")]
