--- a/caroblead/standin/lostcheck.py
+++ b/caroblead/standin/lostcheck.py
@@ -71,7 +71,7 @@
     lags: list[tuple[float, float]] = field(default_factory=list)
 
     def measure_wait_s(self, cut: CutRequest) -> float:
-        """Returns how long a request waited for certain: without the time in which nobody looked."""
+        """Returns how long a request waited, without the time in which the callers didn't run."""
         waited_s = cut.ended_s - cut.sent_s
         for began_s, ended_s in self.lags:
             waited_s -= max(0.0, min(ended_s, cut.ended_s) - max(began_s, cut.sent_s))
