--- a/caroblead/bench/deployedcallers.py
+++ b/caroblead/bench/deployedcallers.py
@@ -21,7 +21,7 @@
 from .deployedsite import CALLERS_PORT, KEYS, QUEUES, READINESS_PORT, ZONES, DeployedSite
 from .plannedsoak import KeptConnection
 
-CALLERS_PER_ZONE = 14
+CALLERS_PER_ZONE = 27
 # How long callers wait for an answer beyond the time that they tell.
 PATIENCE_S = 0.5
 MAX_ATTEMPTS = 5
@@ -36,7 +36,7 @@
 MAX_ASK_DELAY_S = 6.0
 REJECTED_STATUSES = frozenset({400, 401, 403, 404, 413, 429, 503})
 # Jobs a second of each queue.
-RATES = {"checks": 24.1, "recalculations": 0.92, "reviews": 2.72}
+RATES = {"checks": 48.2, "recalculations": 1.84, "reviews": 5.44}
 
 
 @dataclass(slots=True)
--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -40,7 +40,7 @@
 # The zone of each node.
 NODE_ZONES = ("ankara", "ankara", "ankara", "konya", "konya", "kayseri", "kayseri", "eskisehir")
 ZONES = tuple(dict.fromkeys(NODE_ZONES))
-VM_COUNT = 24
+VM_COUNT = 48
 VM_CAPACITY = Resources(16_000, 65_536)
 VMS_PER_RACK = 6
 SERVICE = "planner"
