--- a/caroblead/bench/deployedsoak.py
+++ b/caroblead/bench/deployedsoak.py
@@ -59,6 +59,7 @@
 
     site: DeployedSite
     statuses: Counter
+    longest_lag_s: float
     lost: list[str] = field(default_factory=list)
     other: list[str] = field(default_factory=list)
 
@@ -112,7 +113,7 @@
     polls = await asyncio.gather(*(callers.ask(job) for job in sorted(records.accepted)))
     await asyncio.sleep(max(0.0, from_s + IDLE_S + 0.1 - site.get_now_s()))
     history = platform.vm_simulator.history
-    outcome = Outcome(site, callers.count_statuses())
+    outcome = Outcome(site, callers.count_statuses(), site.observations.measure_longest_lag_s())
     outcome.lost += list_cut_requests(site.observations)
     outcome.lost += list_false_answers(site.observations, history, records)
     outcome.lost += list_unknown_jobs(polls, records, STATE_NAMES.values())
@@ -222,11 +223,10 @@
 def _report(seed: int, outcome: Outcome):
     site = outcome.site
     statuses = {f"{name} {status}": n for (name, status), n in sorted(outcome.statuses.items())}
-    lag_s = max((ended_s - began_s for began_s, ended_s in site.observations.lags), default=0.0)
     print(
         f"seed {seed}: {len(site.caller_records.accepted)} accepted of"
         f" {len(site.caller_records.jobs)}, {statuses}, {', '.join(site.faults)}:"
-        f" cut off {len(site.observations.cuts)}, longest lag of the callers {lag_s:.2f} s,"
+        f" cut off {len(site.observations.cuts)}, longest lag of the callers {outcome.longest_lag_s:.2f} s,"
         f" LOST {len(outcome.lost)}, other {len(outcome.other)}",
         flush=True,
     )
--- a/caroblead/standin/lostcheck.py
+++ b/caroblead/standin/lostcheck.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..core.resource import NOTHING, Resources, add, fits, subtract
@@ -70,6 +70,10 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)
 
+    def measure_longest_lag_s(self) -> float:
+        """Returns the longest time in which the callers didn't run."""
+        return max((ended_s - began_s for began_s, ended_s in self.lags), default=0.0)
+
     def measure_wait_s(self, cut: CutRequest) -> float:
         """Returns how long a request waited, without the time in which the callers didn't run."""
         waited_s = cut.ended_s - cut.sent_s
@@ -203,12 +207,13 @@
         vm: subtract(capacity, occupation.used.get(vm, NOTHING))
         for vm, capacity in capacities.items()
     }
+    done = Counter((task.job, task.step) for task in occupation.done)
     found = []
     for job, spec in caller_records.list_expected_jobs().items():
         queue = caller_records.queues[job]
         if job in occupation.jobs or find_end_state(spec) is not JobState.DONE:
             continue
-        for number in _list_due_steps(job, spec, occupation.done):
+        for number in _list_due_steps(job, spec, done):
             rooms = [
                 room for vm, room in free.items() if is_allowed(f"{job}.0.{number}", vm, queue.name)
             ]
@@ -220,12 +225,14 @@
     return found
 
 
-def _list_due_steps(job: str, spec: JobSpec, done: set[TaskName]) -> Iterable[int]:
-    """Returns the steps that have tasks left and whose earlier steps are done."""
-    counts = Counter(task.step for task in done if task.job == job)
+def _list_due_steps(job: str, spec: JobSpec, done: Mapping[tuple[str, int], int]) -> Iterable[int]:
+    """Returns the steps that have tasks left and whose earlier steps are done.
+
+    ``done`` counts the tasks that are done, by job and step.
+    """
     for number, step in enumerate(spec.steps):
-        is_due = all(counts[earlier] >= spec.steps[earlier].count for earlier in step.after)
-        if counts[number] < step.count and is_due:
+        is_due = all(done[job, earlier] >= spec.steps[earlier].count for earlier in step.after)
+        if done[job, number] < step.count and is_due:
             yield number
 
 
--- a/caroblead/standin/verdict.py
+++ b/caroblead/standin/verdict.py
@@ -232,9 +232,8 @@
         problems.append(f"{start_text}: is running already as {sorted(running)}")
     if task in state.done and not step.copies_allowed:
         problems.append(f"{start_text}: is done already")
-    finished = Counter((item.job, item.occurrence, item.step) for item in state.ended_done)
     for number in step.after:
-        if finished[task.job, task.occurrence, number] < spec.steps[number].count:
+        if _count_ended(state, task, number) < spec.steps[number].count:
             problems.append(f"{start_text}: step {number} is not finished")
     if state.failures[task] >= caller_records.queues[task.job].max_attempts:
         problems.append(f"{start_text}: has failed {state.failures[task]} times")
@@ -246,6 +245,12 @@
     return problems
 
 
+def _count_ended(state: ReplayState, task: TaskName, step: int) -> int:
+    """Returns how many tasks of a step of the job of a task, in its occurrence, have ended done."""
+    place = (task.job, task.occurrence, step)
+    return sum((item.job, item.occurrence, item.step) == place for item in state.ended_done)
+
+
 def _count_step_on_vm(event: HistoryEvent, state: ReplayState) -> int:
     """Returns how many tasks of the event's step run on the event's VM."""
     started_task = event.task
