--- a/caroblead/bench/deployedsoak.py
+++ b/caroblead/bench/deployedsoak.py
@@ -226,7 +226,8 @@
     print(
         f"seed {seed}: {len(site.caller_records.accepted)} accepted of"
         f" {len(site.caller_records.jobs)}, {statuses}, {', '.join(site.faults)}:"
-        f" cut off {len(site.observations.cuts)}, longest lag of the callers {outcome.longest_lag_s:.2f} s,"
+        f" cut off {len(site.observations.cuts)},"
+        f" longest lag of the callers {outcome.longest_lag_s:.2f} s,"
         f" LOST {len(outcome.lost)}, other {len(outcome.other)}",
         flush=True,
     )
