A start reads the settings once, and a change of them while the program is loaded isn't lost

The settings were read before the callers' port was opened and again when the program was loaded, some 0.6 s later. Ones that were invalid by then ended the process with callers in its queue. Now the first reading is the only one; a SIGHUP that comes meanwhile is noted and has them read again as soon as the node runs, where invalid settings are rejected and the old ones stay. Before, such a SIGHUP was ignored.

signal_test.py has the SIGHUP at the opening of the port and at the program's import (both fail without the change: no settings:reloaded), earlysocket_test.py the unusable settings. The last is the whole former test: the texts, a missing file, a port in use; it now asks for exit status 2 where it asked for no socket.

--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -20,7 +20,7 @@
 from ..jobs.data import AdviceTimes, JobQueue
 from ..jobs.record import KeyedRecord
 from ..platform import configuration, registry
-from ..platform.serve import SETTINGS_VARIABLE
+from ..platform.earlysocket import SETTINGS_VARIABLE
 from ..standin.caller import encode_configuration, encode_vm_entry
 from ..standin.deployedplatform import DeployedPlatform, StoreFault
 from ..standin.lostcheck import Observations
--- a/caroblead/bench/soaksite.py
+++ b/caroblead/bench/soaksite.py
@@ -12,7 +12,7 @@
 from ..dispatch.interface import LogLimits
 from ..jobs.record import KeyedRecord
 from ..platform import configuration, registry
-from ..platform.serve import SETTINGS_VARIABLE
+from ..platform.earlysocket import SETTINGS_VARIABLE
 from ..standin.caller import encode_configuration, encode_vm_entry
 from ..standin.cluster import KEY, QUEUES, make_listed_vm
 from ..standin.keyedlog import MemoryTopic
--- a/caroblead/platform/__main__.py
+++ b/caroblead/platform/__main__.py
@@ -4,21 +4,18 @@
 a node never needs because it makes no TLS connections, and the garbage collector looks through
 objects that live as long as the process.
 
-The callers' port is opened first, so that calls wait for the start and aren't refused. A stop that
-is requested meanwhile waits for the start too, since these calls must be answered.
-
-A request to reload the settings that arrives before they are first read is ignored. Signals are
-noted first of all: without that, any of them ends the process.
+The settings are read and the callers' port is opened first, so that calls wait for the start and
+aren't refused. Signals are noted before that: without that, any of them ends the process, and these
+calls with it.
 """
 
 import gc
 import os
 
-from .stoprequest import StopRequest
+from .earlysignals import Signals
 
 # Names the file from which OpenSSL reads the trusted certificates.
 CERTIFICATES_VARIABLE = "SSL_CERT_FILE"
-SETTINGS_VARIABLE = "CAROBLEAD_SETTINGS"
 
 
 def load_program():
@@ -35,13 +32,15 @@
 
 def main():
     """Opens the callers' port, loads the program and runs it."""
-    stop = StopRequest()
-    stop.note_signals()
+    signals = Signals()
+    signals.note()
     # Imported only now, when no signal ends the process any more.
-    from .earlysocket import open_caller_socket
+    from .earlysocket import SETTINGS_VARIABLE, load_settings_or_exit, open_caller_socket
 
-    caller_socket = open_caller_socket(os.environ.get(SETTINGS_VARIABLE, ""))
-    load_program()(caller_socket, stop)
+    path = os.environ[SETTINGS_VARIABLE]
+    settings = load_settings_or_exit(path)
+    caller_socket = open_caller_socket(settings)
+    load_program()(path, settings, caller_socket, signals)
 
 
 if __name__ == "__main__":
--- a/caroblead/platform/earlysocket_test.py
+++ b/caroblead/platform/earlysocket_test.py
@@ -4,8 +4,10 @@
 import json
 import socket
 
+import pytest
+
 from ..standin.cluster import run_scenario, start_site
-from .earlysocket import open_caller_socket
+from .earlysocket import EXIT_USAGE, load_settings_or_exit, open_caller_socket
 from .frontend import Frontend
 from .frontend_test import BODY, JOB, RpcClient
 from .http import HttpClient
@@ -31,7 +33,12 @@
 
 
 def open_at_free_port(tmp_path):
-    return open_caller_socket(write_settings(tmp_path, make_settings("127.0.0.1:0")))
+    return open_early(tmp_path, make_settings("127.0.0.1:0"))
+
+
+def open_early(tmp_path, text: str) -> socket.socket | None:
+    """Opens the callers' port as a program with settings of this text does."""
+    return open_caller_socket(load_settings_or_exit(write_settings(tmp_path, text)))
 
 
 def test_call_that_comes_before_the_node_is_loaded_is_accepted(tmp_path):
@@ -73,19 +80,21 @@
     run_scenario(scenario)
 
 
-def test_unusable_settings_or_a_port_in_use_leave_the_start_as_it_was(tmp_path):
-    for text in ("", "{", "[]", "{}", '{"callers": 7}', '{"callers": "127.0.0.1:x"}'):
-        assert open_caller_socket(write_settings(tmp_path, text)) is None
-    assert open_caller_socket(str(tmp_path / "missing")) is None
+def test_no_call_is_accepted_with_settings_that_are_unusable(tmp_path):
+    texts = ["", "{", "[]", "{}", '{"callers": 7}', '{"callers": "127.0.0.1:x"}']
+    for changed in ({"lease_s": -1}, {"peer_port": 70_000}, {"zone": 7}):
+        texts.append(make_settings("127.0.0.1:0", **changed))
+    for text in texts:
+        with pytest.raises(SystemExit) as exit_info:
+            open_early(tmp_path, text)
+        assert exit_info.value.code == EXIT_USAGE
+    with pytest.raises(SystemExit):
+        load_settings_or_exit(str(tmp_path / "missing"))
+
+
+def test_port_that_is_in_use_or_that_there_is_not_leaves_the_start_as_it_was(tmp_path):
+    for callers in ("127.0.0.1:99999", "1.1.1.999:80"):
+        assert open_early(tmp_path, make_settings(callers)) is None
     with socket.create_server(("127.0.0.1", 0)) as other:
         address = "{}:{}".format(*other.getsockname())
-        path = write_settings(tmp_path, make_settings(address))
-        assert open_caller_socket(path) is None
-
-
-def test_no_call_is_accepted_with_settings_that_the_program_refuses(tmp_path):
-    for changed in ({"lease_s": -1}, {"peer_port": 70_000}, {"zone": 7}):
-        path = write_settings(tmp_path, make_settings("127.0.0.1:0", **changed))
-        assert open_caller_socket(path) is None
-    for callers in ("127.0.0.1:99999", "::1:80"):
-        assert open_caller_socket(write_settings(tmp_path, make_settings(callers))) is None
+        assert open_early(tmp_path, make_settings(address)) is None
--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -1,19 +1,13 @@
-"""Entry point of the node program, which runs on each entry VM of the platform.
-
-The environment variable ``CAROBLEAD_SETTINGS`` holds the path of the settings file.
-"""
+"""The node program, which runs on each entry VM of the platform."""
 
 import asyncio
 import os
-import signal
 import socket
-import sys
 import zlib
 
 from aiohttp import web
 
 from ..core.logsink import install_sink, log
-from ..core.outcome import describe_problem
 from ..dispatch.interface import LogLimits
 from ..node.configuration import ConfigurationView
 from ..node.evacuation import EvacuationView
@@ -23,38 +17,26 @@
 from ..node.setting import NodeSettings, load_node_settings, merge_settings
 from . import configuration, evacuation, registry
 from .advisor import PlatformAdvisor
+from .earlysignals import Signals
 from .frontend import Frontend
 from .http import HttpClient
 from .listener import Listener
 from .log import PlatformLog
 from .relay import Relay
-from .stoprequest import StopRequest
 from .vms import PlatformVms
 
-SETTINGS_VARIABLE = "CAROBLEAD_SETTINGS"
 LEDGER_TOPIC = "keyed.caroblead"
 CONNECTIONS_PER_VM = 6
 CONNECTIONS_TO_STORE = 16
 CONNECTIONS_PER_PEER = 8
 # A peer that takes longer to accept a connection counts as out of reach.
 PEER_CONNECT_TIMEOUT_S = 0.3
-EXIT_USAGE = 2
 # Fraction of the grace period of a planned stop in which callers' connections are closed after the
 # drain, and how long the others may take.
 CLOSE_FRACTION = 0.2
 CLOSE_METRICS_S = 0.05
 
 
-def load_settings_or_exit(path: str) -> NodeSettings:
-    """Reads the settings; prints every error to stderr and exits with status 2 if there are any."""
-    checked = load_node_settings(path)
-    for fault in checked.faults:
-        print(describe_problem(fault), file=sys.stderr)
-    if checked.faults:
-        sys.exit(EXIT_USAGE)
-    return checked.value
-
-
 def make_node(settings: NodeSettings, store_http: HttpClient, vm_http: HttpClient) -> Node:
     """Creates a node with its adapters.
 
@@ -108,20 +90,21 @@
     await listener.start(node.settings.host, node.settings.metrics_port)
 
 
-async def serve(path: str, caller_socket: socket.socket | None, stop: StopRequest):
+async def serve(
+    path: str, settings: NodeSettings, caller_socket: socket.socket | None, signals: Signals
+):
     """Runs a node until it is told to stop, then drains it; SIGHUP reloads the settings.
 
-    Callers are served through ``caller_socket`` if it is given, which listens already.
+    The settings are those that were read from ``path``. Callers are served through
+    ``caller_socket`` if it is given, which listens already.
     """
-    loop, stop_requested = asyncio.get_running_loop(), asyncio.Event()
-    stop.handle_signals(loop, stop_requested.set)
-    # A signal during the start is handled at the next turn of the loop, when the node exists.
-    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(path, node))
-    settings = load_settings_or_exit(path)
+    stop_requested = asyncio.Event()
     install_sink(settings.node)
     log("node:starting", zone=settings.zone, lease_s=settings.lease_s)
     store_http, vm_http = HttpClient(CONNECTIONS_TO_STORE), HttpClient(CONNECTIONS_PER_VM)
     node = make_node(settings, store_http, vm_http)
+    loop = asyncio.get_running_loop()
+    signals.handle(loop, stop_requested.set, lambda: reload_settings(path, node))
     relay_http = HttpClient(CONNECTIONS_PER_PEER, PEER_CONNECT_TIMEOUT_S)
     frontend = Frontend(
         node.request_handler, node.is_ready, node.metrics, make_relay(node, relay_http)
@@ -132,9 +115,9 @@
     error = await start_node(node, metrics_listener)
     if error is None:
         await stop_requested.wait()
-    stop.request()
+    signals.request_stop()
     try:
-        await node.drain(frontend, stop.requested_s)
+        await node.drain(frontend, signals.stop_requested_s)
     finally:
         await frontend.stop_listening(node.settings.grace_s * CLOSE_FRACTION)
         await metrics_listener.close(CLOSE_METRICS_S)
@@ -177,13 +160,6 @@
     log("settings:reloaded", changed=merged.changed, needs_restart=merged.needs_restart)
 
 
-def run(caller_socket: socket.socket | None = None, stop: StopRequest | None = None):
-    """Runs the node program, which serves callers through the socket if it is given.
-
-    A stop may have been requested already.
-    """
-    asyncio.run(serve(os.environ[SETTINGS_VARIABLE], caller_socket, stop or StopRequest()))
-
-
-if __name__ == "__main__":
-    run()
+def run(path: str, settings: NodeSettings, caller_socket: socket.socket | None, signals: Signals):
+    """Runs the node program, see :func:`serve`."""
+    asyncio.run(serve(path, settings, caller_socket, signals))
--- a/caroblead/platform/signal_test.py
+++ b/caroblead/platform/signal_test.py
@@ -9,14 +9,14 @@
 import pytest
 
 from ..standin.network import choose_network
-from .serve import SETTINGS_VARIABLE
+from .earlysocket import SETTINGS_VARIABLE
 
 GRACE_S = 0.5
 LIFETIME_S = 30.0
 # Runs the node program, which sends itself signals when it gets to a certain function.
 PROGRAM = """
 import gc, os, signal, socket
-from caroblead.platform import __main__, serve
+from caroblead.platform import __main__, earlysocket, serve
 inner = {function}
 def send_signals(*arguments, **options):
     for name in {names}:
@@ -71,9 +71,10 @@
 @pytest.mark.parametrize(
     "function",
     [
+        "earlysocket.load_settings_or_exit",
         "socket.create_server",
         "gc.disable",
-        "serve.load_settings_or_exit",
+        "serve.make_node",
         "serve.start_metrics",
     ],
 )
@@ -84,8 +85,9 @@
     assert (started, node.wait_for_end()) == (True, 0)
 
 
-def test_reload_that_is_requested_after_the_settings_were_read_is_not_lost(tmp_path):
-    node = NodeProcess(tmp_path, "serve.make_node", ["SIGHUP"])
+@pytest.mark.parametrize("function", ["socket.create_server", "gc.disable", "serve.make_node"])
+def test_reload_that_is_requested_after_the_settings_were_read_is_not_lost(tmp_path, function):
+    node = NodeProcess(tmp_path, function, ["SIGHUP"])
     reloaded = node.wait_for_line("settings:reloaded")
     node.process.terminate()
     assert (reloaded, node.wait_for_end()) == (True, 0)
--- a/caroblead/platform/start_test.py
+++ b/caroblead/platform/start_test.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ..standin.network import choose_network
-from .serve import SETTINGS_VARIABLE
+from .earlysocket import SETTINGS_VARIABLE
 
 PORTS = {"callers": 8183, "readiness": 8184, "peers": 7420, "metrics": 9464, "store": 8182}
 GRACE_S = 2.0
