The soak's stand-ins don't stand while a process is started; a run in which they stood doesn't count

Python starts processes by vfork there, whose parent waits until the child has got processor time, and on a busy machine that took seconds; the store, the VMs and the callers stood with it. Processes are started in a thread without vfork now. A run whose loop stood for more than 1 s is reported and doesn't count (exit status 2), since its stand-ins may have made what it shows.

--- a/caroblead/bench/deployedfaults.py
+++ b/caroblead/bench/deployedfaults.py
@@ -60,7 +60,7 @@
         await asyncio.sleep(generator.uniform(*RESTART_S))
         while node in site.without_power:
             await asyncio.sleep(0.02)
-        start_process(site, node)
+        await asyncio.to_thread(start_process, site, node)
 
 
 # Planned work.
--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -43,6 +43,8 @@
 VM_COUNT = 48
 VM_CAPACITY = Resources(16_000, 65_536)
 VMS_PER_RACK = 6
+# A parent that uses vfork stands until its child has got processor time, and the stand-ins with it.
+subprocess._USE_VFORK = False
 SERVICE = "planner"
 KEYS = tuple(f"key-of-team-{number}" for number in range(6))
 GRACE_S = 6.0
--- a/caroblead/bench/deployedsoak.py
+++ b/caroblead/bench/deployedsoak.py
@@ -47,6 +47,8 @@
 LEAD_S = 12.0
 READY_CHECK_S = 0.2
 ACK_TO_FINAL_FAULT_S = 0.05
+# A run whose stand-ins stood for longer shows nothing of the nodes.
+MAX_LAG_S = 1.0
 # Exits that planned work and faults cause.
 EXPECTED_STATUSES = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
 
@@ -63,6 +65,11 @@
     lost: list[str] = field(default_factory=list)
     other: list[str] = field(default_factory=list)
 
+    @property
+    def counts(self) -> bool:
+        """Whether the run shows anything: the stand-ins and the callers ran all the while."""
+        return self.longest_lag_s <= MAX_LAG_S
+
 
 async def _play(site: DeployedSite, callers: Callers, events: list, final: bool, load: float):
     generator = site.generator
@@ -177,6 +184,8 @@
 ):
     """Runs a range of seeds and exits with 1 if any of them lost something or broke an invariant.
 
+    Exits with 2 if none did, but the machine was too busy for some runs to count.
+
     Parameters
     ----------
     seeds
@@ -202,7 +211,7 @@
     keep
         The directory in which the logs of runs with problems are kept.
     """
-    failed = False
+    failed = uncounted = False
     for seed in range(first, first + seeds):
         events = draw_events(seed, count, planned, faults)
         if only:
@@ -213,11 +222,12 @@
             )
             outcome = asyncio.run(run)
             _report(seed, outcome)
+            uncounted = uncounted or not outcome.counts
             if outcome.lost or outcome.other:
-                failed = True
+                failed = failed or outcome.counts
                 shutil.copytree(name, keep / str(seed), dirs_exist_ok=True)
                 _write_problems(keep / str(seed) / "problems.txt", outcome)
-    sys.exit(failed)
+    sys.exit(1 if failed else 2 * uncounted)
 
 
 def _report(seed: int, outcome: Outcome):
@@ -228,7 +238,8 @@
         f" {len(site.caller_records.jobs)}, {statuses}, {', '.join(site.faults)}:"
         f" cut off {len(site.observations.cuts)},"
         f" longest lag of the callers {outcome.longest_lag_s:.2f} s,"
-        f" LOST {len(outcome.lost)}, other {len(outcome.other)}",
+        f" LOST {len(outcome.lost)}, other {len(outcome.other)}"
+        f"{'' if outcome.counts else ', NOT COUNTED: the machine was too busy'}",
         flush=True,
     )
     for problem in (*outcome.lost[:8], *outcome.other[:8]):
