An impossible readiness port takes no waiting call along

The settings accept ports up to 99999 in addresses; one above 65535 for the readiness checks raised an error outside the part of the start that answers callers first. All parts are started there now, the frontend too. test_port_that_there_is_not_takes_no_request_along fails without the change: the answer is empty.

--- a/caroblead/platform/serve.py
+++ b/caroblead/platform/serve.py
@@ -110,9 +110,7 @@
         node.request_handler, node.is_ready, node.metrics, make_relay(node, relay_http)
     )
     metrics_listener = Listener(lambda request: answer_metrics(node), "metrics")
-    # Callers may be waiting since before the program was loaded.
-    await frontend.start(settings.callers, settings.readiness, caller_socket)
-    error = await start_node(node, metrics_listener)
+    error = await start_all(node, frontend, metrics_listener, caller_socket)
     if error is None:
         await stop_requested.wait()
     signals.request_stop()
@@ -129,12 +127,17 @@
         raise error
 
 
-async def start_node(node: Node, metrics_listener: Listener) -> Exception | None:
-    """Starts a node; returns the error that kept it from starting.
+async def start_all(
+    node: Node, frontend: Frontend, metrics_listener: Listener, caller_socket: socket.socket | None
+) -> Exception | None:
+    """Starts all parts of a node; returns the error that kept one of them from starting.
 
-    Such a node is stopped in the planned way, since callers may have been accepted.
+    Such a node is stopped in the planned way, since callers may have been accepted. They are served
+    first, because they may be waiting since before the program was loaded.
     """
+    settings = node.settings
     try:
+        await frontend.start(settings.callers, settings.readiness, caller_socket)
         await node.start()
         await start_metrics(node, metrics_listener)
     except Exception as error:
--- a/caroblead/platform/start_test.py
+++ b/caroblead/platform/start_test.py
@@ -157,18 +157,28 @@
 """
 
 
+async def ask_and_wait_for_end(folder, host: str, **options) -> tuple[bytes, int]:
+    """Returns what a node that can't start answers, and its exit status."""
+    process = start_node(folder, host, **options)
+    try:
+        answer = await ask(await connect(host, process))
+        return answer, await asyncio.to_thread(process.wait, START_TIMEOUT_S)
+    finally:
+        process.kill()
+
+
 @pytest.mark.parametrize("function", ["serve.Node.start", "serve.start_metrics"])
 def test_start_that_fails_takes_no_request_along(tmp_path, function):
-    host = f"{choose_network()}.1"
+    program = FAILING_PROGRAM.format(function=function)
+    run = ask_and_wait_for_end(tmp_path, f"{choose_network()}.1", program=program)
+    answer, status = asyncio.run(run)
+    assert b" 503 " in answer
+    assert status == 1
 
-    async def scenario() -> tuple[bytes, int]:
-        process = start_node(tmp_path, host, FAILING_PROGRAM.format(function=function))
-        try:
-            answer = await ask(await connect(host, process))
-            return answer, await asyncio.to_thread(process.wait, START_TIMEOUT_S)
-        finally:
-            process.kill()
 
-    answer, status = asyncio.run(scenario())
+def test_port_that_there_is_not_takes_no_request_along(tmp_path):
+    host = f"{choose_network()}.1"
+    run = ask_and_wait_for_end(tmp_path, host, readiness=f"{host}:99999")
+    answer, status = asyncio.run(run)
     assert b" 503 " in answer
     assert status == 1
