--- a/caroblead/standin/platform.py
+++ b/caroblead/standin/platform.py
@@ -43,6 +43,8 @@
 from .vmsimulator import SimulatedVm, VmSimulator
 
 BACKLOG = 512
+# How long open calls may take when the stand-in stops.
+SHUTDOWN_S = 0.1
 # Only the operators and the VMs write to these topics.
 OPERATORS_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 REFUSAL_REASONS = {
@@ -76,7 +78,7 @@
         self.advice_s = 0.0
         self.advice_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.open_questions: Counter[str] = Counter()
-        self.runner = web.ServerRunner(web.Server(self._serve))
+        self.runner = web.ServerRunner(web.Server(self._serve), shutdown_timeout=SHUTDOWN_S)
         self.address = ""
 
     async def start(self, hosts: Sequence[str] = ("127.0.0.1",), port: int = 0):
