--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -30,6 +30,9 @@
 from ..standin.vmsimulator import VmSimulator
 from ..standin.work import make_behavior_lookup
 
+# A parent that uses vfork stands until its child has got processor time, and the stand-ins with it.
+subprocess._USE_VFORK = False
+
 ROOT = Path(__file__).parents[2]
 CALLERS_PORT, READINESS_PORT, PLATFORM_PORT = 8183, 8184, 8182
 INTERNAL_PORTS = (7420, 7435)
@@ -43,8 +46,6 @@
 VM_COUNT = 48
 VM_CAPACITY = Resources(16_000, 65_536)
 VMS_PER_RACK = 6
-# A parent that uses vfork stands until its child has got processor time, and the stand-ins with it.
-subprocess._USE_VFORK = False
 SERVICE = "planner"
 KEYS = tuple(f"key-of-team-{number}" for number in range(6))
 GRACE_S = 6.0
@@ -234,12 +235,19 @@
 async def stop_site(site: DeployedSite):
     """Kills the processes of this run and closes the stand-ins; a paused process is resumed."""
     site.stopping.update(site.nodes)
+    _kill_processes(site)
+    # A thread may be about to start one more process.
+    await asyncio.get_running_loop().shutdown_default_executor()
+    _kill_processes(site)
+    await site.platform.close()
+
+
+def _kill_processes(site: DeployedSite):
     for process in site.processes.values():
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
             process.kill()
         process.wait()
-    await site.platform.close()
 
 
 # Disturbances.
