--- a/caroblead/dispatch/leader_test.py
+++ b/caroblead/dispatch/leader_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ..core.clock import get_wall_s
+from ..core.clock import get_elapsed_s, get_wall_s
 from ..core.resource import Resources
 from ..jobs.data import Job, JobState, Progress, StepProgress
 from ..jobs.ledger import JobAdded, StoredJob, find_state
@@ -261,7 +261,7 @@
         while leader.commit.append_started_s is None:
             await asyncio.sleep(0.01)
         frontend = SimpleNamespace(open_calls=0, closing=False)
-        drain = asyncio.create_task(site.nodes[name].drain(frontend))
+        drain = asyncio.create_task(site.nodes[name].drain(frontend, get_elapsed_s()))
         other = next(node for node in sorted(site.nodes) if node != name)
         job = await submit(site, other, make_spec(make_step(1)))
         await drain
