--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,9 +13,12 @@
 MILLICORES = 12_000
 WORK_S = 16.0
 STEADY_S = 10.0
-# How long the process of the minion is gone, how long after its return the minion is cut off, and
-# for how long.
-DOWN_S, BETWEEN_S, CUT_S = 0.4, 1.1, 12.0
+# How long the process of the minion is gone, and how long after its start it writes its entry.
+DOWN_S, ENTRY_S = 0.4, 0.2
+# How long after its task has started there again, which takes most of a second, the minion is cut
+# off, and for how long.
+BETWEEN_S, CUT_S = 0.2, 12.0
+MAX_START_S = 1.4
 
 
 async def play(site: Site) -> list[str]:
@@ -25,9 +28,10 @@
             raise RuntimeError("a submission was not accepted")
     await asyncio.sleep(STEADY_S)
     if TROUBLE in ("1", "crash"):
-        await site.crash_minion("m-0", DOWN_S)
+        await site.crash_minion("m-0", DOWN_S, ENTRY_S)
     else:
         await asyncio.sleep(DOWN_S)
+    await site.wait_until(lambda: site.minions.vms["m-0"].active_runs, MAX_START_S)
     await asyncio.sleep(BETWEEN_S)
     if TROUBLE in ("1", "cut"):
         await site.cut_minion("m-0", CUT_S)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""One accepted submission with many overdue occurrences: the work of other tenants stands still."""
+"""Two accepted submissions with many overdue occurrences: all work of the deployment stands still."""
 
 import asyncio
 import dataclasses
@@ -11,9 +11,8 @@
 from small import TROUBLE, Site, make_job, run_case  # noqa: E402
 
 MINIONS = 8
-# Every second since eleven hours ago; each occurrence is one small task.
-INTERVAL_S = 1.0
-REPETITIONS = 40_000
+# Every second for twelve and a half hours, which are over; each occurrence is one small task.
+SCHEDULES, INTERVAL_S, REPETITIONS = 2, 1.0, 45_000
 SMALL_MILLICORES, SMALL_WORK_S = 50, 1.0
 # The other tenant submits one task a second, each of a quarter of a minion.
 OTHERS, OTHER_MILLICORES, OTHER_WORK_S = 20, 4000, 0.5
@@ -21,16 +20,16 @@
 
 
 async def play(site: Site) -> list[str]:
-    """Submits the schedule for one tenant, then small submissions for another one."""
-    if TROUBLE != "0":
+    """Submits the schedules of one tenant, then small submissions of another one."""
+    for number in range(SCHEDULES if TROUBLE != "0" else 0):
         schedule = dataclasses.replace(
             make_job(SMALL_WORK_S, 1, SMALL_MILLICORES),
             repeats=REPETITIONS,
             first_due_s=time.time() - REPETITIONS * INTERVAL_S,
             interval_s=INTERVAL_S,
         )
-        if not await site.submit("f" * 16, schedule):
-            raise RuntimeError("the schedule was not accepted")
+        if not await site.submit(f"{number:x}" * 16, schedule):
+            raise RuntimeError("a schedule was not accepted")
     others = [f"{number:016x}" for number in range(1, OTHERS + 1)]
     calls = []
     for job in others:
--- a/review/standins-2/small.py
+++ b/review/standins-2/small.py
@@ -165,7 +165,8 @@
             template = (ROOT / "deploy" / "settings.json").read_text()
             (self.folder / f"{node}.json").write_text(fill_template(template, values))
             self.start_node(node)
-        await self.wait_until(lambda: all(vm.term for vm in self.minions.vms.values()), 30.0)
+        if not await self.wait_until(lambda: all(vm.term for vm in self.minions.vms.values()), 30.0):
+            raise RuntimeError("no leader has called all minions")
         self.note("all minions have been called by the leader")
 
     def make_minion(self, number: int) -> ListedVm:
@@ -254,11 +255,14 @@
         """Removes the entry of a minion that has been silent for too long."""
         self.platform.get_topic(registry.TOPIC).append([KeyedRecord(name, b"")], None)
 
-    async def crash_minion(self, name: str, down_s: float):
-        """Ends the process of a minion, which starts again under the same id and says so."""
+    async def crash_minion(self, name: str, down_s: float, entry_s: float = 0.02):
+        """Ends the process of a minion, which starts again under the same id.
+
+        It writes its entry ``entry_s`` seconds after its start.
+        """
         self.note(f"minion {name}: its process ends, for {down_s} s")
         self.minions.crash(name, down_s)
-        await asyncio.sleep(down_s + 0.02)
+        await asyncio.sleep(down_s + entry_s)
         self.register(name)
         self.note(f"minion {name}: has started again and has written its entry")
 
@@ -368,8 +372,12 @@
     folder = Path(case).resolve().parent
 
     async def main() -> int:
-        site = Site(folder, minion_count)
         status, verdict = NOT_RUN, "not run"
+        try:
+            site = Site(folder, minion_count)
+        except Exception as error:
+            print(f"not run: {type(error).__name__}: {error}")
+            return status
         try:
             async with asyncio.timeout(105):
                 await site.start()
@@ -379,8 +387,10 @@
         except Exception as error:
             verdict = f"not run: {type(error).__name__}: {error}"
         finally:
-            site.write_record(verdict)
-            await site.close()
+            try:
+                site.write_record(verdict)
+            finally:
+                await site.close()
         print(verdict)
         return status
 
