--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Two accepted submissions with many overdue occurrences: all work of the deployment stands still."""
+"""Two accepted submissions with many overdue occurrences: all work stands still."""
 
 import asyncio
 import dataclasses
--- a/review/standins-2/small.py
+++ b/review/standins-2/small.py
@@ -165,7 +165,8 @@
             template = (ROOT / "deploy" / "settings.json").read_text()
             (self.folder / f"{node}.json").write_text(fill_template(template, values))
             self.start_node(node)
-        if not await self.wait_until(lambda: all(vm.term for vm in self.minions.vms.values()), 30.0):
+        minions = self.minions.vms.values()
+        if not await self.wait_until(lambda: all(vm.term for vm in minions), 30.0):
             raise RuntimeError("no leader has called all minions")
         self.note("all minions have been called by the leader")
 
@@ -346,16 +347,15 @@
     That is where a run starts while another run of its task is going on at a minion that is up, or
     after a run has ended ``done`` whose end was taken note of before the lease lapsed.
     """
-    noted = {
-        (event.task, event.number) for event in minions.history if event.kind == "noted done"
-    }
+    noted = {(event.task, event.number) for event in minions.history if event.kind == "noted done"}
     running, done, found = defaultdict(set), {}, []
     for event in sorted(minions.history, key=lambda item: item.at_s):
         place = (event.number, event.vm)
         if event.kind == "start":
             others = running[event.task] - {place}
             if others:
-                found.append(f"{event.task}: run {event.number} on {event.vm} starts beside {others}")
+                run = f"run {event.number} on {event.vm}"
+                found.append(f"{event.task}: {run} starts beside {others}")
             if event.task in done:
                 number = done[event.task]
                 found.append(f"{event.task}: run {event.number} starts after run {number} was done")
