--- a/caroblead/bench/dispatch.py
+++ b/caroblead/bench/dispatch.py
@@ -16,8 +16,9 @@
 
 from ..core.resource import Resources
 from ..dispatch import makeroom, planning
-from ..dispatch.fleet import Fleet, Run, RunPhase, book_run, observe_first_answer, put_vm
+from ..dispatch.fleet import Fleet, Run, RunPhase, book_run, put_vm
 from ..dispatch.interface import Configuration, ListedVm, LogLimits, TaskName
+from ..dispatch.lease import observe_first_answer
 from ..dispatch.work import StepWork, open_due_occurrences, open_job
 from ..jobs.data import (
     AdviceTimes,
--- a/caroblead/dispatch/evacuation.py
+++ b/caroblead/dispatch/evacuation.py
@@ -15,8 +15,9 @@
 from ..core.resource import Resources
 from ..jobs.data import StepKey
 from .eviction import count_fit
-from .fleet import CLOCK_DRIFT, Fleet, Run, VmRow
+from .fleet import Fleet, Run, VmRow
 from .interface import Configuration, ListedVm, find_service
+from .lease import CLOCK_DRIFT
 from .work import StepWork, get_booked_need
 
 # The age of a reading, as a fraction of the bound, above which nothing starts by it.
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -22,10 +22,8 @@
     Run,
     RunPhase,
     VmRow,
-    is_lease_expired,
     put_vm,
     release_run,
-    reset_incarnation,
 )
 from .health import STALL_AVOID_S, mark_slow, record_end
 from .interface import EndedTask, EndReason, RunningTask, StartRefusal
@@ -37,6 +35,7 @@
     note_late_order,
 )
 from .learning.learning import Learning
+from .lease import is_lease_expired, reset_incarnation
 from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
--- a/caroblead/dispatch/fleet_test.py
+++ b/caroblead/dispatch/lease_test.py
@@ -1,15 +1,9 @@
 """Tests of VM leases: the confirmation of the term bounds a grant, and expiry must be certain."""
 
 from ..core.resource import Resources
-from .fleet import (
-    Fleet,
-    grant_deadline,
-    is_lease_expired,
-    observe_clock,
-    observe_first_answer,
-    put_vm,
-)
+from .fleet import Fleet, put_vm
 from .interface import ListedVm
+from .lease import grant_deadline, is_lease_expired, observe_clock, observe_first_answer
 
 
 def make_row(term_began_s=100.0):
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -6,8 +6,9 @@
 from ..core.logsink import log, log_routine
 from ..core.timer import await_and_log_errors
 from .evacuation import limit_start_deadline
-from .fleet import Fleet, Run, RunPhase, grant_deadline, is_within_capacity
+from .fleet import Fleet, Run, RunPhase, is_within_capacity
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, VmControl
+from .lease import grant_deadline
 from .orderwindow import OrderWindow, tells_congestion
 from .report import Reports
 
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -5,18 +5,11 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log
 from ..core.timer import await_and_log_errors, call_and_log_errors
-from .fleet import (
-    Fleet,
-    Run,
-    RunPhase,
-    VmRow,
-    grant_deadline,
-    observe_clock,
-    observe_first_answer,
-)
+from .fleet import Fleet, Run, RunPhase, VmRow
 from .health import record_progress
 from .interface import HoldAnswer, NoAnswer, Refused, StartRefusal, VmControl
 from .learning.speedwatch import watch_progress
+from .lease import grant_deadline, observe_clock, observe_first_answer
 from .orders import OrderSender
 from .pacing import list_runs_to_pace, update_pace
 from .report import Reports
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -29,10 +29,11 @@
 )
 from ..dispatch.commit import CommitQueue
 from ..dispatch.crash_test import lose_leader_at_each_crash, run_crashing_task_among_others
-from ..dispatch.fleet import RunPhase, observe_clock, put_vm
+from ..dispatch.fleet import RunPhase, put_vm
 from ..dispatch.interface import NoAnswer
 from ..dispatch.leader import Leader
 from ..dispatch.leader_test import DRAIN_S, drain_a_vm, submit_while_a_vm_restarts
+from ..dispatch.lease import observe_clock
 from ..dispatch.listing_test import (
     reconnect_to_the_store_after_a_vm_has_shrunk,
     restart_a_vm_long_before_its_entry,
