A lease granted by the clock of a VM's former life isn't taken for expired

Cause: a lease ends at a time on the VM's own clock, which starts anew in each life. A renewal for the former life that reaches the new one carries a deadline that lies far in the future there, and is shortened to the longest lease (10 s), while the leader counts 8 s from the first answer. An order names the VM and not its life, so nothing keeps such a call out, also one that is carried out late.

Change: each life gets calls with a fence of its own (the term times 1,000,000, plus the restarts in this term), so once a life has answered one of them, no call for a former life has an effect. The answer that shows a restart doesn't count as the first one of the new life; from the next one the longest lease is counted, as from the first answer in a term and, for a VM that never answers a new leader, from the beginning of the term. A run that isn't known to be in the life whose clock the leader counts by (listed, or its start answered with a reading that continues that clock) may last for the longest lease from the last grant. A VM that left a renewal unanswered is asked without a deadline first. The longest lease comes from the platform's bounds (holdMaxMs).

Why it works: whatever a former-life call grants is at most the longest lease from its arrival, and it arrives before the first answer to the new fence.

--- a/caroblead/bench/deployedsite.py
+++ b/caroblead/bench/deployedsite.py
@@ -23,6 +23,7 @@
 from ..platform.earlysocket import SETTINGS_VARIABLE
 from ..standin.caller import encode_configuration, encode_vm_entry
 from ..standin.deployedplatform import DeployedPlatform, StoreFault
+from ..standin.limits import MAX_LEASE_MS
 from ..standin.lostcheck import Observations
 from ..standin.network import choose_network
 from ..standin.template import fill_template
@@ -146,6 +147,7 @@
             "configApplyMs": 2000,
             "revokeMs": 5000,
             "graceS": GRACE_S,
+            "holdMaxMs": MAX_LEASE_MS,
         },
     }
 
--- a/caroblead/bench/trial.py
+++ b/caroblead/bench/trial.py
@@ -22,6 +22,7 @@
     checkpoint_length: int = 0,
     record_bytes: int = LogLimits().record_bytes,
     early_cancels: int = 0,
+    restarts: int = 0,
 ):
     """Runs the trials of a range of seeds.
 
@@ -39,6 +40,8 @@
         The size of the largest record that the log accepts; an append may hold four of them.
     early_cancels
         The number of jobs in each trial that are cancelled while they may still be stored.
+    restarts
+        The number of VMs in each trial that restart at once and may be cut off then.
     """
     limits = LogLimits(record_bytes, 4 * record_bytes)
     failed_trials = accepted = starts = 0
@@ -49,6 +52,7 @@
             checkpoint_length=checkpoint_length,
             limits=limits,
             early_cancels=early_cancels,
+            restarts=restarts,
         )
         accepted += outcome.accepted
         starts += outcome.starts
--- a/caroblead/dispatch/crash.py
+++ b/caroblead/dispatch/crash.py
@@ -111,13 +111,15 @@
     return [blame.step for blame in blames] + _withdraw_common(table, crash)
 
 
-def note_loss(table: CrashTable, open_jobs: dict[str, JobWork], row: VmRow) -> list[StepWork]:
-    """Counts a VM that has left the registry, and whose lease has expired, for its runs.
+def note_loss(
+    table: CrashTable, open_jobs: dict[str, JobWork], row: VmRow, runs: list[Run]
+) -> list[StepWork]:
+    """Counts a VM that has left the registry, and whose lease has expired, for runs on it.
 
     It may have crashed or may only be cut off, so it is blamed only on a task that was to be alone.
     Returns the steps that changed.
     """
-    blames = _count_runs(table, open_jobs, _list_begun(row))
+    blames = _count_runs(table, open_jobs, runs)
     if row.alone_runs:
         _apply_blames(blames, 1)
     return [blame.step for blame in blames]
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -12,6 +12,8 @@
 from .interface import ListedVm, Target, TaskName
 from .learning.speed import SpeedTable
 
+# The fences of a term. A VM tells by them a call for a former incarnation from one for this.
+FENCES_PER_TERM = 1_000_000
 # A VM that has not answered for this long gets no new tasks.
 SILENT_AFTER_S = 1.3
 
@@ -74,7 +76,8 @@
     former term is not known.
 
     ``incarnation`` is that of the VM to which it was ordered, or a later one whose restart has been
-    counted for it.
+    counted for it. It ``is_confirmed`` once it is known to be in the incarnation whose clock the
+    leader knows.
     """
 
     task: TaskName
@@ -112,6 +115,7 @@
     pace: int | None = FULL_PACE
     charge: Resources | None = None
     incarnation: int = 0
+    is_confirmed: bool = False
     isolation: Isolation = Isolation.NONE
     backfills: StepKey | None = None
 
@@ -125,7 +129,9 @@
     """The row of one VM in the table, with its lease.
 
     ``clock_ms`` is the VM's clock as read by the time ``clock_at_s``; ``deadline_ms`` is the latest
-    end of any lease granted to this incarnation, on the VM's own clock. ``heard_s`` is when the VM
+    end of any lease granted to this incarnation, on the VM's own clock, and ``granted_s`` when the
+    last grant was sent. ``fence`` is the fencing token of the calls to this incarnation: a VM that
+    has seen it does nothing for a call to a former one. ``heard_s`` is when the VM
     last answered, and ``answered`` whether it has done so in this term. ``seen`` is the serial of
     the last end that has been recorded, and ``unknown_runs`` counts the listed runs that the leader
     doesn't know. The VM gets no new tasks before ``avoid_until_s``. ``reset_s`` is when a restart
@@ -142,11 +148,13 @@
     listed: ListedVm
     incarnation: int
     free: Resources
+    fence: int = 0
     in_registry: bool = True
     runs: dict[tuple[TaskName, int], Run] = field(default_factory=dict)
     clock_ms: int = 0
     clock_at_s: float = 0.0
     deadline_ms: int = 0
+    granted_s: float = 0.0
     answered: bool = False
     heard_s: float = 0.0
     seen: int = 0
@@ -180,6 +188,9 @@
 class Fleet:
     """All VMs, the resources that each team uses, the reservations, and when this term began.
 
+    A grant ends ``lease_s`` after the leader's term was last confirmed, and a VM shortens a lease
+    to ``longest_lease_s``.
+
     No task starts in the ``evacuated_zones``, and no start order sent now may be carried out later
     than ``start_until_s``. ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not
     learned.
@@ -190,8 +201,10 @@
 
     rows: dict[str, VmRow] = field(default_factory=dict)
     used: dict[str, Resources] = field(default_factory=dict)
+    term: int = 0
     term_began_s: float = 0.0
     lease_s: float = 8.0
+    longest_lease_s: float = 10.0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     start_until_s: float = float("inf")
@@ -205,7 +218,8 @@
     """Adds a VM, or updates it from its entry in the registry."""
     row = fleet.rows.get(listed.name)
     if row is None:
-        row = VmRow(listed.name, listed, listed.incarnation, listed.capacity)
+        fence = fleet.term * FENCES_PER_TERM
+        row = VmRow(listed.name, listed, listed.incarnation, listed.capacity, fence)
         fleet.rows[listed.name] = row
         return row
     if listed.capacity != row.listed.capacity:
--- a/caroblead/dispatch/interface.py
+++ b/caroblead/dispatch/interface.py
@@ -220,13 +220,16 @@
 
 @dataclass(slots=True, frozen=True)
 class StartOrder:
-    """An order to run a task until a deadline on the VM's clock; later calls of hold extend it."""
+    """An order to run a task until a deadline on the VM's clock; later calls of hold extend it.
+
+    A VM that has seen a higher ``fence`` does nothing for it.
+    """
 
     task: TaskName
     number: int
     payload: str
     deadline_ms: int
-    term: int
+    fence: int
     checkpoint: str = ""
     ticket: str = ""
 
@@ -243,7 +246,8 @@
 class VmControl(Protocol):
     """The control interface of the VMs.
 
-    An order that has no answer after ``order_timeout_s`` seconds is given up.
+    An order that has no answer after ``order_timeout_s`` seconds is given up. A VM that has seen a
+    higher ``fence`` than that of a call does nothing for it.
     """
 
     order_timeout_s: float
@@ -251,16 +255,16 @@
     async def start(self, target: Target, order: StartOrder) -> StartOutcome:
         """Starts a task."""
 
-    async def stop(self, target: Target, task: TaskName, number: int, term: int) -> StartOutcome:
+    async def stop(self, target: Target, task: TaskName, number: int, fence: int) -> StartOutcome:
         """Stops a run and prevents a delayed start order from starting it later."""
 
     async def pace(
-        self, target: Target, task: TaskName, number: int, percent: int, term: int
+        self, target: Target, task: TaskName, number: int, percent: int, fence: int
     ) -> StartOutcome:
         """Throttles a run to a percentage of its full speed from now on."""
 
     async def hold(
-        self, target: Target, term: int, seen: int, deadline_ms: int | None, wait_s: float
+        self, target: Target, fence: int, seen: int, deadline_ms: int | None, wait_s: float
     ) -> HoldAnswer | Refused | NoAnswer:
         """Renews the VM's lease and returns its run lists; waits at most ``wait_s`` for an end."""
 
--- a/caroblead/dispatch/isolation_test.py
+++ b/caroblead/dispatch/isolation_test.py
@@ -136,7 +136,7 @@
     blame(steps[1], 0, 2)
     for number, step in enumerate(steps):
         run = start_run(fleet, step, 0, f"v{number}")
-        note_loss(table, {step.key.job: step.work}, run.vm)
+        note_loss(table, {step.key.job: step.work}, run.vm, list(run.vm.runs.values()))
     assert [step.step_progress.crashes[0].blamed for step in steps] == [0, 3]
 
 
--- a/caroblead/dispatch/lateorder.py
+++ b/caroblead/dispatch/lateorder.py
@@ -72,7 +72,7 @@
         if _take_back(state, row, task, number):
             log("task:taken_back", task=str(task), run=number, vm=row.name)
         else:
-            refusal = _refuse(state, row, row.incarnation, task, number)
+            refusal = _refuse(state, row, row.fence, task, number)
             state.order_sender.spawn(await_and_log_errors(refusal))
 
 
@@ -100,11 +100,11 @@
     return True
 
 
-async def _refuse(state: TermState, row: VmRow, incarnation: int, task: TaskName, number: int):
+async def _refuse(state: TermState, row: VmRow, fence: int, task: TaskName, number: int):
     """Makes an incarnation of a VM refuse an order, by a stop that it is sent until it answers."""
     sender = state.order_sender
-    while row.incarnation == incarnation and (task, number) in row.late_orders:
-        outcome = await sender.vms.stop(row.make_target(), task, number, sender.term)
+    while row.fence == fence and (task, number) in row.late_orders:
+        outcome = await sender.vms.stop(row.make_target(), task, number, fence)
         if not isinstance(outcome, NoAnswer):
             return
         await asyncio.sleep(STOP_RETRY_S)
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -20,7 +20,6 @@
 from .fleet import (
     Fleet,
     Run,
-    RunPhase,
     VmRow,
     put_vm,
     release_run,
@@ -35,7 +34,7 @@
     note_late_order,
 )
 from .learning.learning import Learning
-from .lease import is_lease_expired, reset_incarnation
+from .lease import is_lease_expired, list_expired_runs, reset_incarnation
 from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
@@ -55,12 +54,17 @@
     def __init__(self, dependencies: LeaderDependencies, term: int, term_confirmed_s: float):
         self.dependencies = dependencies
         self.term = term
-        self.fleet = Fleet(term_began_s=get_elapsed_s(), lease_s=dependencies.lease_s)
+        self.fleet = Fleet(
+            term=term,
+            term_began_s=get_elapsed_s(),
+            lease_s=dependencies.lease_s,
+            longest_lease_s=dependencies.longest_lease_s,
+        )
         self.watch_tasks: dict[str, asyncio.Task] = {}
         self.vm_watches: dict[str, Watch] = {}
         self.broken_since: dict[StepKey, float] = {}
         self.commit = CommitQueue(dependencies.log, term, term_confirmed_s, self.lose_term)
-        self.order_sender = OrderSender(self.fleet, dependencies.vms, term, self)
+        self.order_sender = OrderSender(self.fleet, dependencies.vms, self)
         self.state = TermState(dependencies, term, self.fleet, self.commit, self.order_sender)
         self.learning = Learning(self.state)
         self.unserved_jobs: set[str] = set()
@@ -224,7 +228,7 @@
                 self._start_watch(row)
 
     def _start_watch(self, row: VmRow):
-        watch = Watch(self.fleet, row, self.dependencies.vms, self.term, self.order_sender, self)
+        watch = Watch(self.fleet, row, self.dependencies.vms, self.order_sender, self)
         self.vm_watches[row.name] = watch
         self.watch_tasks[row.name] = asyncio.create_task(await_and_log_errors(watch.run()))
 
@@ -272,9 +276,15 @@
         for step in steps:
             self.commit.mark_dirty(step.work)
 
-    def on_fenced(self, vm: str):
-        """Handles an answer that shows that a VM has seen a later term."""
-        self.lose_term(f"{vm} has seen a later term")
+    def on_fenced(self, row: VmRow, fence: int) -> bool:
+        """Handles an answer that shows that a VM has seen a higher fence than this one.
+
+        Returns whether it is that of a later term, and not that of its next incarnation.
+        """
+        if fence < row.fence:
+            return False
+        self.lose_term(f"{row.name} has seen a later term")
+        return True
 
     def on_free_room(self):
         """Triggers a tick because resources may be free now."""
@@ -369,12 +379,12 @@
             if row.runs and is_lease_expired(self.fleet, row, now_s):
                 silent_s = round(now_s - (row.heard_s or self.fleet.term_began_s), 3)
                 log("vm:lapsed", vm=row.name, runs=len(row.runs), silent_s=silent_s)
+                expired = list_expired_runs(self.fleet, row, now_s)
                 if not row.in_registry and not row.listed.draining:
-                    lost = note_loss(self.state.crash_table, self.state.open_jobs, row)
-                    self._record_steps(lost)
-                for run in list(row.runs.values()):
-                    if run.phase is not RunPhase.RECORDING:
-                        self.on_gone(run, "the lease of its VM has expired")
+                    table, open_jobs = self.state.crash_table, self.state.open_jobs
+                    self._record_steps(note_loss(table, open_jobs, row, expired))
+                for run in expired:
+                    self.on_gone(run, "the lease of its VM has expired")
         for work in self.state.open_jobs.values():
             for step in work.steps.values():
                 for run in list_broken_gang(step, now_s, self.broken_since):
--- a/caroblead/dispatch/orders.py
+++ b/caroblead/dispatch/orders.py
@@ -8,7 +8,7 @@
 from .evacuation import limit_start_deadline
 from .fleet import Fleet, Run, RunPhase, is_within_capacity
 from .interface import NoAnswer, Refused, Started, StartOrder, StartRefusal, VmControl
-from .lease import grant_deadline
+from .lease import grant_deadline, is_clock_of_incarnation
 from .orderwindow import OrderWindow, tells_congestion
 from .report import Reports
 
@@ -31,12 +31,10 @@
         self,
         fleet: Fleet,
         vms: VmControl,
-        term: int,
         reports: Reports,
     ):
         self.fleet = fleet
         self.vms = vms
-        self.term = term
         self.reports = reports
         self.tasks: set[asyncio.Task] = set()
         self.refusals: dict[str, int] = {}
@@ -76,25 +74,27 @@
             self.reports.on_refused(run, StartRefusal.NO_TICKET)
             return
         run.phase = RunPhase.ORDERED
-        deadline_ms = grant_deadline(self.fleet, row, self.reports.get_confirmed_s())
+        sent_s, fence = get_elapsed_s(), row.fence
+        deadline_ms = grant_deadline(self.fleet, row, self.reports.get_confirmed_s(), sent_s)
         run.resumed = bool(run.checkpoint)
         order = StartOrder(
             run.task,
             run.number,
             payload,
             limit_start_deadline(row, deadline_ms, self.fleet.start_until_s),
-            self.term,
+            fence,
             run.checkpoint,
             run.ticket,
         )
-        incarnation = row.incarnation
-        sent_s = get_elapsed_s()
         outcome = await self.vms.start(row.make_target(), order)
         self._observe_duration(run, outcome, sent_s)
-        if (run.task, run.number) not in row.runs or row.incarnation != incarnation:
+        if (run.task, run.number) not in row.runs or row.fence != fence:
             return
         if isinstance(outcome, NoAnswer):
             self.reports.on_unanswered(row, sent_s)
+        if isinstance(outcome, Started):
+            now_s = get_elapsed_s()
+            run.is_confirmed = is_clock_of_incarnation(row, outcome.clock_ms, sent_s, now_s)
         self._handle_start_outcome(run, outcome)
 
     def _observe_duration(self, run: Run, outcome, sent_s: float):
@@ -124,7 +124,7 @@
             self.refusals[outcome.reason] = self.refusals.get(outcome.reason, 0) + 1
             if outcome.reason is StartRefusal.FENCED:
                 run.phase = RunPhase.UNSURE
-                self.reports.on_fenced(row.name)
+                self.reports.on_fenced(row, row.fence)
                 return
             if outcome.reason not in REFUSALS_DUE_TO_THE_TASK:
                 avoid_s = AVOID_S.get(outcome.reason, DEFAULT_AVOID_S)
@@ -154,7 +154,8 @@
         row = run.vm
         retry_s = STOP_RETRY_S
         while (run.task, run.number) in row.runs:
-            outcome = await self.vms.stop(row.make_target(), run.task, run.number, self.term)
+            fence = row.fence
+            outcome = await self.vms.stop(row.make_target(), run.task, run.number, fence)
             if isinstance(outcome, Started):
                 run.order_answered_s = get_elapsed_s()
                 log_routine("task:stopped", task=str(run.task), run=run.number, vm=row.name)
@@ -162,8 +163,8 @@
                     await self.reports.poll_vm(row)
                 return
             if isinstance(outcome, Refused) and outcome.reason is StartRefusal.FENCED:
-                self.reports.on_fenced(row.name)
-                return
+                if self.reports.on_fenced(row, fence):
+                    return
             if isinstance(outcome, NoAnswer):
                 log(
                     "task:stop_unanswered",
@@ -181,20 +182,20 @@
         self.spawn(self._pace(run, percent))
 
     async def _pace(self, run: Run, percent: int):
-        row = run.vm
-        outcome = await self.vms.pace(row.make_target(), run.task, run.number, percent, self.term)
+        row, fence = run.vm, run.vm.fence
+        outcome = await self.vms.pace(row.make_target(), run.task, run.number, percent, fence)
         if isinstance(outcome, Started):
             log_routine("task:paced", task=str(run.task), run=run.number, percent=percent)
             return
         run.pace = None
         log("task:not_paced", task=str(run.task), run=run.number, vm=row.name, percent=percent)
         if isinstance(outcome, Refused) and outcome.reason is StartRefusal.FENCED:
-            self.reports.on_fenced(row.name)
+            self.reports.on_fenced(row, fence)
 
     async def stop_unknown_run(self, row, running):
         """Stops a run that a VM lists but the log has no record of."""
         log("task:stranger", task=str(running.task), run=running.number, vm=row.name)
-        await self.vms.stop(row.make_target(), running.task, running.number, self.term)
+        await self.vms.stop(row.make_target(), running.task, running.number, row.fence)
 
     def close(self):
         """Cancels the orders in flight."""
--- a/caroblead/dispatch/report.py
+++ b/caroblead/dispatch/report.py
@@ -36,8 +36,11 @@
     def on_unknown_run(self, row: VmRow, running: RunningTask):
         """Handles a run that a VM lists but that isn't in the table: takes it back or stops it."""
 
-    def on_fenced(self, vm: str):
-        """Handles an answer that shows that a VM has seen a later term."""
+    def on_fenced(self, row: VmRow, fence: int) -> bool:
+        """Handles an answer that shows that a VM has seen a higher fence than this one.
+
+        Returns whether it is that of a later term.
+        """
 
     def on_free_room(self):
         """Triggers a tick because resources may be free now."""
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -40,6 +40,7 @@
     get_listed_age_s: Callable[[], float]
     on_lost: Callable[[str], None]
     lease_s: float
+    longest_lease_s: float
     features: Features = Features()
     get_evacuations: Callable[[], ZoneReading] = ZoneReading
 
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -34,14 +34,12 @@
         fleet: Fleet,
         row: VmRow,
         vms: VmControl,
-        term: int,
         order_sender: OrderSender,
         reports: Reports,
     ):
         self.fleet = fleet
         self.row = row
         self.vms = vms
-        self.term = term
         self.order_sender = order_sender
         self.reports = reports
         self.polls = 0
@@ -55,8 +53,11 @@
 
     async def _renew(self) -> bool:
         """Polls the VM once; returns whether it answered with its lists."""
-        sent_s = get_elapsed_s()
+        sent_s, fence = get_elapsed_s(), self.row.fence
         answer = await self._hold()
+        if self.row.fence != fence:
+            # The VM has restarted meanwhile, and this may be an answer of its former incarnation.
+            return True
         if not isinstance(answer, HoldAnswer):
             if isinstance(answer, NoAnswer):
                 self.reports.on_unanswered(self.row, sent_s)
@@ -67,20 +68,21 @@
 
     async def poll_once(self):
         """Polls the VM at once, in parallel to a renewal that may be waiting there."""
-        sent_s = get_elapsed_s()
+        sent_s, fence = get_elapsed_s(), self.row.fence
         answer = await self._hold(wait=False)
-        if isinstance(answer, HoldAnswer):
+        if isinstance(answer, HoldAnswer) and self.row.fence == fence:
             await self._handle_lists(answer, sent_s)
 
     async def _hold(self, wait: bool = True):
-        row = self.row
-        known = row.clock_at_s > 0 and row.answered
+        row, now_s = self.row, get_elapsed_s()
+        # A VM that has just been silent may have restarted: its clock may be another one now.
+        known = row.clock_at_s > 0 and row.answered and not self.silent
         deadline = None
-        if known and get_elapsed_s() - row.heard_s < GRANT_WHILE_HEARD_S:
-            deadline = grant_deadline(self.fleet, row, self.reports.get_confirmed_s())
+        if known and now_s - row.heard_s < GRANT_WHILE_HEARD_S:
+            deadline = grant_deadline(self.fleet, row, self.reports.get_confirmed_s(), now_s)
         self.polls += 1
         wait_s = POLL_WAIT_S if known and wait else 0.0
-        return await self.vms.hold(row.make_target(), self.term, row.seen, deadline, wait_s)
+        return await self.vms.hold(row.make_target(), row.fence, row.seen, deadline, wait_s)
 
     def _handle_failure(self, answer: Refused | NoAnswer):
         row = self.row
@@ -89,7 +91,7 @@
             detail = answer.reason if isinstance(answer, Refused) else answer.detail
             log("vm:lost", vm=row.name, detail=detail, runs=len(row.runs))
         if isinstance(answer, Refused) and answer.reason is StartRefusal.FENCED:
-            self.reports.on_fenced(row.name)
+            self.reports.on_fenced(row, row.fence)
 
     async def _handle_lists(self, answer: HoldAnswer, sent_s: float):
         row = self.row
@@ -98,6 +100,9 @@
             log("vm:back", vm=row.name, silent_s=get_elapsed_s() - row.heard_s)
         if answer.incarnation != row.incarnation:
             self.reports.on_restarted(row, answer.incarnation)
+            # It still carries out calls for its former incarnation, until it has got one with the
+            # fence of this one; that answer is its first.
+            return
         first = not row.answered
         if first:
             observe_first_answer(self.fleet, row, answer.clock_ms, get_elapsed_s())
@@ -140,6 +145,7 @@
             self.reports.on_unknown_run(row, item)
 
     def _handle_running(self, run: Run, item):
+        run.is_confirmed = True
         if record_progress(run, item, get_elapsed_s()):
             self.reports.on_stalled(run)
         if item.checkpoint:
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -71,7 +71,11 @@
     def is_silent(fleet, row, now_s):
         return row.answered and now_s - row.heard_s > 1.5
 
+    def list_sent(fleet, row, now_s):
+        return [run for run in row.runs.values() if run.phase is not RunPhase.RECORDING]
+
     monkeypatch.setattr(leader, "is_lease_expired", is_silent)
+    monkeypatch.setattr(leader, "list_expired_runs", list_sent)
 
 
 def ignore_leases_of_the_former_leader(monkeypatch):
--- a/caroblead/node/program.py
+++ b/caroblead/node/program.py
@@ -272,6 +272,7 @@
             get_listed_age_s=self.registry_tail.get_age_s,
             on_lost=self._on_term_lost,
             lease_s=self.settings.lease_s,
+            longest_lease_s=self.settings.hold_max_ms / 1000,
             features=make_features(self.settings),
             get_evacuations=lambda: self.evacuation_view.make_reading(
                 self.configuration_tail.current_s
--- a/caroblead/node/setting.py
+++ b/caroblead/node/setting.py
@@ -58,13 +58,13 @@
 
     Times whose names end in ``_s`` are in seconds. ``apply_ms`` is within how long a change of the
     configuration must be in force, ``revoke_ms`` how long a withdrawn key may still be accepted,
-    ``lease_s`` how long a VM keeps running its tasks without contact to the leader, ``grace_s`` how
-    long a planned stop may take. The node may use ``core_share`` of a core that is ``core_speed``
-    times as fast as a reference core, and a network link of ``link_mbps``. ``evacuation_ms`` is
-    within how long no task may start any more in an availability zone that is evacuated, 0 where
-    zones aren't evacuated. The log accepts records of ``record_bytes`` and appends of
-    ``request_bytes``. With ``relay``, calls that the node can't serve are passed on to a peer.
-    The other switches are for the optional decisions of
+    ``lease_s`` how long a VM keeps running its tasks without contact to the leader, ``hold_max_ms``
+    to what a VM shortens a longer lease, ``grace_s`` how long a planned stop may take. The node may
+    use ``core_share`` of a core that is ``core_speed`` times as fast as a reference core, and a
+    network link of ``link_mbps``. ``evacuation_ms`` is within how long no task may start any more
+    in an availability zone that is evacuated, 0 where zones aren't evacuated. The log accepts
+    records of ``record_bytes`` and appends of ``request_bytes``. With ``relay``, calls that the
+    node can't serve are passed on to a peer. The other switches are for the optional decisions of
     :class:`caroblead.dispatch.features.Features`.
     """
 
@@ -82,6 +82,7 @@
     revoke_ms: float = _define_number(5000, above=500)
     grace_s: float = _define_number(6.0, above=0, at_most=3600)
     lease_s: float = _define_number(8.0, above=1, at_most=9.5)
+    hold_max_ms: float = _define_number(10_000, above=0)
     core_share: float = _define_number(1.0, above=0)
     core_speed: float = _define_number(1.0, above=0)
     link_mbps: float = _define_number(1000.0, above=0)
--- a/caroblead/platform/adapter_test.py
+++ b/caroblead/platform/adapter_test.py
@@ -132,7 +132,7 @@
     async def scenario(server, http):
         vms = PlatformVms(http)
         target = Target("vm-0", 1, server.address)
-        order = StartOrder(TASK, 1, "payload", 60_000, term=3)
+        order = StartOrder(TASK, 1, "payload", 60_000, fence=3)
         assert isinstance(await vms.start(target, order), Started)
         answer = await vms.hold(target, 3, 0, 60_000, 1.0)
         assert isinstance(answer, HoldAnswer)
--- a/caroblead/platform/vms.py
+++ b/caroblead/platform/vms.py
@@ -66,7 +66,7 @@
             "runId": order.number,
             "spec": order.payload,
             "deadlineMs": order.deadline_ms,
-            "fencingToken": order.term,
+            "fencingToken": order.fence,
         }
         if order.checkpoint:
             message["checkpoint"] = order.checkpoint
@@ -74,25 +74,25 @@
             message["ticket"] = order.ticket
         return await self._send_command(target, "run-start", message)
 
-    async def stop(self, target: Target, task: TaskName, number: int, term: int) -> StartOutcome:
+    async def stop(self, target: Target, task: TaskName, number: int, fence: int) -> StartOutcome:
         """Stops a run; one that has not started yet is prevented from starting."""
-        message = {"task": str(task), "runId": number, "fencingToken": term}
+        message = {"task": str(task), "runId": number, "fencingToken": fence}
         return await self._send_command(target, "run-stop", message)
 
     async def pace(
-        self, target: Target, task: TaskName, number: int, percent: int, term: int
+        self, target: Target, task: TaskName, number: int, percent: int, fence: int
     ) -> StartOutcome:
         """Sets the speed of a run to ``percent`` of its full speed."""
         message = {
             "task": str(task),
             "runId": number,
             "percentage": percent,
-            "fencingToken": term,
+            "fencingToken": fence,
         }
         return await self._send_command(target, "pace", message)
 
     async def hold(
-        self, target: Target, term: int, seen: int, deadline_ms: int | None, wait_s: float
+        self, target: Target, fence: int, seen: int, deadline_ms: int | None, wait_s: float
     ) -> HoldAnswer | Refused | NoAnswer:
         """Renews the lease of a VM and returns its running and ended tasks.
 
@@ -100,7 +100,7 @@
         lease on the VM's clock; without it the lease is not extended. The VM waits up to ``wait_s``
         for another task to end.
         """
-        message = {"fencingToken": term, "lastSeen": seen}
+        message = {"fencingToken": fence, "lastSeen": seen}
         if deadline_ms is not None:
             message["deadlineMs"] = deadline_ms
         if wait_s > 0:
--- a/caroblead/standin/cluster.py
+++ b/caroblead/standin/cluster.py
@@ -150,6 +150,12 @@
         site.draining_s.setdefault(listed.name, asyncio.get_running_loop().time())
 
 
+def update_vm_entry(site: Site, name: str):
+    """Registers a VM as it is now, as it does itself after a restart or a change."""
+    vm = site.vm_simulator.vms[name]
+    put_vm_entry(site, replace(vm.listed, incarnation=vm.incarnation))
+
+
 async def resize_vm(
     site: Site, number: int, capacity: Resources, entry_delay_s: float = HEARTBEAT_S
 ):
@@ -157,7 +163,7 @@
     vm = site.vm_simulator.vms[f"vm-{number}"]
     site.vm_simulator.resize(vm.listed.name, capacity)
     await asyncio.sleep(entry_delay_s)
-    put_vm_entry(site, replace(vm.listed, incarnation=vm.incarnation))
+    update_vm_entry(site, vm.listed.name)
 
 
 def show_crash_in_registry(site: Site, vm: SimulatedVm, down_s: float):
--- a/caroblead/standin/trial.py
+++ b/caroblead/standin/trial.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from ..core.resource import Resources
 from ..dispatch.interface import LogLimits
@@ -22,13 +22,13 @@
     evacuate_zone,
     find_leader,
     kill_node,
-    put_vm_entry,
     resize_vm,
     restore_zone,
     run_scenario,
     start_node,
     start_site,
     submit,
+    update_vm_entry,
 )
 from .trialdraw import (
     TRAFFIC_S,
@@ -160,7 +160,40 @@
     down_s = rng.uniform(0.3, 3.0)
     site.vm_simulator.crash(f"vm-{number}", down_s)
     await asyncio.sleep(down_s + rng.uniform(0.1, 1.0))
-    put_vm_entry(site, replace(vm.listed, incarnation=vm.incarnation))
+    update_vm_entry(site, vm.listed.name)
+
+
+async def restart_and_cut_vm(site: Site, rng: random.Random):
+    """Restarts a VM at once, which then may be cut off from all nodes while it runs on.
+
+    Its entry is written up to 2 s after its start, so often after it has been called, and a renewal
+    for its former incarnation may be carried out late.
+    """
+    name, simulator = f"vm-{rng.randrange(VM_COUNT)}", site.vm_simulator
+    if not simulator.vms[name].up:
+        return
+    if rng.random() < 0.5:
+        simulator.late_holds.add(name)
+        simulator.late_s = rng.uniform(0.5, 5.0)
+        await asyncio.sleep(1.0)
+        if not simulator.vms[name].up:
+            return
+    down_s = rng.uniform(0.01, 0.5)
+    simulator.crash(name, down_s)
+    await asyncio.sleep(down_s + 0.01)
+    entry = asyncio.create_task(_write_entry_later(site, name, rng.uniform(0.0, 2.0)))
+    await asyncio.sleep(rng.uniform(0.0, 2.0))
+    if rng.random() < 0.7:
+        cut = {(node, name) for node in site.faults_by_node}
+        simulator.cut |= cut
+        await asyncio.sleep(rng.uniform(LONGEST_FAULT_S, 2.5 * LONGEST_FAULT_S))
+        simulator.cut -= cut
+    await entry
+
+
+async def _write_entry_later(site: Site, name: str, delay_s: float):
+    await asyncio.sleep(delay_s)
+    update_vm_entry(site, name)
 
 
 async def cut_vm(site: Site, rng: random.Random):
@@ -279,6 +312,7 @@
     checkpoint_length: int = 0,
     limits: LogLimits = LogLimits(),
     early_cancels: int = 0,
+    restarts: int = 0,
 ) -> TrialResult:
     """Runs the trial of a seed in virtual time and returns its result.
 
@@ -286,7 +320,7 @@
     own, so that they don't change the other jobs and the faults. The same holds for the
     ``evacuations`` of zones. ``checkpoint_length`` is that of the tasks that save checkpoints, and
     ``limits`` are those of the ledger. ``early_cancels`` jobs are added that are cancelled while
-    they may still be stored.
+    they may still be stored. ``restarts`` VMs restart and may be cut off soon afterwards.
     """
     rng = random.Random(seed)
     result = TrialResult(seed)
@@ -317,6 +351,13 @@
         if early_cancels:
             cancel_rng = random.Random(f"early cancels of {seed}")
             tasks.append(asyncio.create_task(_cancel_early(site, cancel_rng, early_cancels)))
+        restart_rng = random.Random(f"restarts of {seed}")
+        for _ in range(restarts):
+            at_s, fault_rng = restart_rng.uniform(1.0, TRAFFIC_S), random.Random(
+                restart_rng.random()
+            )
+            fault = _run_fault(site, restart_and_cut_vm, at_s, fault_rng, result)
+            tasks.append(asyncio.create_task(fault))
         await _submit_jobs(site, rng, checkpoint_length)
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S + crashing_jobs * SETTLE_PER_CRASHING_JOB_S)
--- a/caroblead/standin/vmcontrol.py
+++ b/caroblead/standin/vmcontrol.py
@@ -47,6 +47,11 @@
         vm = await self._reach_vm(target)
         if vm is None:
             return NoAnswer("no response from the VM")
+        if target.vm in self.vm_simulator.late_holds:
+            self.vm_simulator.late_holds.discard(target.vm)
+            self.vm_simulator.hold_late(vm, term, seen, deadline_ms)
+            await asyncio.sleep(0.4)
+            return NoAnswer("no response from the VM")
         answer = await self.vm_simulator.hold(vm, term, seen, deadline_ms, wait_s)
         await self.caller_faults.wait_while_frozen()
         return answer if self._is_reachable(target) else NoAnswer("no response from the VM")
@@ -70,7 +75,7 @@
         if self.vm_simulator.late_orders > 0:
             self.vm_simulator.late_orders -= 1
             late_s = self.vm_simulator.late_s
-            self.vm_simulator.loop.call_later(late_s, apply_order, vm, late_s)
+            self.vm_simulator.loop.call_later(late_s, _apply_if_up, vm, apply_order, late_s)
             await asyncio.sleep(0.4)
             return NoAnswer("no response from the VM")
         answer = apply_order(vm, 0.0)
@@ -83,3 +88,9 @@
             await asyncio.sleep(0.4)
             return NoAnswer("no response from the VM")
         return answer
+
+
+def _apply_if_up(vm: SimulatedVm, apply_order, late_s: float):
+    """Executes a late order, unless the VM is down: the order is lost then."""
+    if vm.up:
+        apply_order(vm, late_s)
--- a/caroblead/standin/vmsimulator.py
+++ b/caroblead/standin/vmsimulator.py
@@ -7,9 +7,7 @@
 """
 
 import asyncio
-import base64
 import itertools
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -27,40 +25,12 @@
     StartRefusal,
     TaskName,
 )
+from .behavior import TaskBehavior, make_checkpoint, read_worked_s
 from .limits import MAX_ENDS_PER_ANSWER, MAX_LEASE_MS
 
 STOP_DELAY_S = 0.1
 
 
-CHECKPOINT_DIGITS = 8
-
-
-@dataclass(slots=True, frozen=True)
-class TaskBehavior:
-    """How a run of a task behaves: its duration, its resources, and whether it fails.
-
-    A task that serves users responds within ``response_ms`` if no other task runs on its VM. Every
-    other task on that VM adds its ``disturbs_ms``, or less in proportion if its pace is lower.
-
-    A crashing task takes its VM down ``crashes_after_s`` after its start, for ``down_s`` seconds;
-    with 0 the VM crashes on the start order, which gets no answer.
-
-    With a ``checkpoint_length`` above 0 the task saves checkpoints of so many characters, which
-    serve every task of the same ``checkpoint_owner``.
-    """
-
-    seconds: float
-    need: Resources
-    fails: bool = False
-    response_ms: float = 0.0
-    disturbs_ms: float = 0.0
-    fills: bool = False
-    crashes_after_s: float | None = None
-    down_s: float = 1.0
-    checkpoint_length: int = 0
-    checkpoint_owner: str = ""
-
-
 @dataclass(slots=True, frozen=True)
 class HistoryEvent:
     """An event in the life of a run on a VM.
@@ -92,21 +62,6 @@
     capacity: Resources
 
 
-def read_worked_s(checkpoint: str) -> float:
-    """Returns how much of its work a task had done at a checkpoint, in seconds."""
-    return int(checkpoint[:CHECKPOINT_DIGITS] or 0) / 1000
-
-
-def _make_checkpoint(behavior: TaskBehavior, worked_s: float) -> str:
-    """Returns a checkpoint, whose beginning tells the work that was done, in milliseconds."""
-    if not behavior.checkpoint_length or not worked_s:
-        return ""
-    begin = f"{round(worked_s * 1000):0{CHECKPOINT_DIGITS}d}"
-    noise = random.Random(f"{behavior.checkpoint_owner}/{begin}")
-    text = begin + base64.b64encode(noise.randbytes(behavior.checkpoint_length)).decode()
-    return text[: behavior.checkpoint_length]
-
-
 @dataclass(slots=True, eq=False)
 class ActiveRun:
     """A run in progress; ``percent`` is its pace in percent of its full pace.
@@ -154,10 +109,10 @@
     """All VMs by name, with the history of everything that happened on them.
 
     ``get_task_behavior`` returns how a run behaves. ``cut`` holds pairs of a caller and a VM that
-    can't reach each other. The next ``late_orders`` orders are executed ``late_s`` seconds late and
-    without a response. The next ``lose_answers`` other orders are executed, but their response is
-    lost. ``on_crashed`` is called after a task has crashed its VM, with the VM and the seconds for
-    which it is down.
+    can't reach each other. The next ``late_orders`` orders, and the next renewal of each VM in
+    ``late_holds``, are executed ``late_s`` seconds late and without a response. The next
+    ``lose_answers`` other orders are executed, but their response is lost. ``on_crashed`` is called
+    after a task has crashed its VM, with the VM and the seconds for which it is down.
     """
 
     def __init__(self, get_task_behavior: Callable[[TaskName, int], TaskBehavior]):
@@ -169,6 +124,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.lose_answers = 0
         self.late_orders = 0
+        self.late_holds: set[str] = set()
         self.late_s = 3.0
         self.fenced_orders = 0
         self.on_crashed: Callable[[SimulatedVm, float], None] = lambda vm, down_s: None
@@ -188,6 +144,8 @@
                 self._record_event("crashed", task, run.number, vm, run.behavior)
         for task in list(vm.active_runs):
             self._end_run(vm, task, EndReason.LAPSED, reported=False)
+        # The calls that wait there break off.
+        self._wake_waiting_calls(vm)
         self.loop.call_later(down_s, self._restart, vm)
 
     def _crash_under(self, vm: SimulatedVm, behavior: TaskBehavior):
@@ -223,10 +181,10 @@
 
         ``late_s`` is how long ago the order was sent, if it is executed late.
         """
-        if order.term < vm.term:
+        if order.fence < vm.term:
             self.fenced_orders += 1
             return Refused(StartRefusal.FENCED)
-        vm.term = order.term
+        vm.term = order.fence
         run = vm.active_runs.get(order.task)
         if run is not None and run.number == order.number:
             return Started(self.get_clock_ms(vm))
@@ -248,7 +206,10 @@
             timer = self.loop.call_later(behavior.crashes_after_s, self._crash_under, vm, behavior)
         run = ActiveRun(order.number, behavior, now_s, timer, worked_s=restored_s, since_s=now_s)
         vm.active_runs[order.task] = run
-        if order.checkpoint not in ("", _make_checkpoint(behavior, restored_s)):
+        if order.checkpoint not in (
+            "",
+            make_checkpoint(behavior, restored_s),
+        ):
             self._record_event("foreign checkpoint", order.task, order.number, vm, behavior)
         self._record_event("start", order.task, order.number, vm, behavior, late_s)
         if behavior.crashes_after_s == 0:
@@ -322,13 +283,9 @@
 
         Waits up to ``wait_s`` seconds for a run to end if there are no other ends to report.
         """
-        if term < vm.term:
-            self.fenced_orders += 1
-            return Refused(StartRefusal.FENCED)
-        vm.term = term
-        if deadline_ms is not None:
-            self._extend_lease(vm, deadline_ms)
-        self._acknowledge_ends(vm, seen)
+        refusal = self._renew(vm, term, seen, deadline_ms)
+        if refusal is not None:
+            return refusal
         if not vm.ended and wait_s > 0:
             await wait_for_event(vm.changed, wait_s)
         running = [
@@ -345,9 +302,27 @@
         more_ends = len(ended) == MAX_ENDS_PER_ANSWER
         return HoldAnswer(self.get_clock_ms(vm), vm.incarnation, running, ended, more_ends)
 
+    def hold_late(self, vm: SimulatedVm, term: int, seen: int, deadline_ms: int | None):
+        """Executes a lease renewal ``late_s`` seconds late, if the VM is up then."""
+        self.loop.call_later(self.late_s, self._renew, vm, term, seen, deadline_ms)
+
+    def _renew(
+        self, vm: SimulatedVm, term: int, seen: int, deadline_ms: int | None
+    ) -> Refused | None:
+        if term < vm.term:
+            self.fenced_orders += 1
+            return Refused(StartRefusal.FENCED)
+        if not vm.up:
+            return None
+        vm.term = term
+        if deadline_ms is not None:
+            self._extend_lease(vm, deadline_ms)
+        self._acknowledge_ends(vm, seen)
+        return None
+
     def _save(self, vm: SimulatedVm, run: ActiveRun) -> str:
         """Returns the newest checkpoint of a run, an empty string if there is none."""
-        return _make_checkpoint(run.behavior, self._measure_work(vm, run))
+        return make_checkpoint(run.behavior, self._measure_work(vm, run))
 
     def _compute_percent(self, vm: SimulatedVm, run: ActiveRun) -> float:
         return int(100 * self._measure_work(vm, run) / run.behavior.seconds)
@@ -375,8 +350,11 @@
             serial = next(vm.serials)
             vm.ended_s[serial] = self.loop.time()
             vm.ended.append(EndedTask(serial, task, run.number, reason, saved))
-            vm.changed.set()
-            vm.changed = asyncio.Event()
+            self._wake_waiting_calls(vm)
+
+    def _wake_waiting_calls(self, vm: SimulatedVm):
+        vm.changed.set()
+        vm.changed = asyncio.Event()
 
     def _record_event(
         self,
--- a/caroblead/standin/work.py
+++ b/caroblead/standin/work.py
@@ -5,7 +5,7 @@
 from ..core.resource import Resources
 from ..dispatch.interface import TaskName
 from ..jobs.data import JobSpec, JobState, StepSpec
-from .vmsimulator import TaskBehavior
+from .behavior import TaskBehavior
 
 # As a number of failing runs it exceeds the attempts that any queue allows, so the job fails.
 FAILS_EVERY_RUN = 99
