An end of a VM's new life isn't forgotten before it is seen

What callers would see: a task that is done on a VM that has just restarted under its name is done a second time.

Cause: a renewal says up to which number ends are known, and the VM forgets these. The number belongs to one life of the VM, whose ends are numbered anew in the next. It was sent to whichever life got the call, and was raised by ends of the former life that were recorded after the restart was learned of.

Evidence: the two new tests of restart_test.py fail on the code before: two starts of a task whose end was noted; and 7 instead of 0 ends seen of the next incarnation.

Change: a VM that left a renewal unanswered is asked without a number until it has answered; a number counts only if no restart was learned of while its ends were recorded.

--- a/caroblead/dispatch/restart_test.py
+++ b/caroblead/dispatch/restart_test.py
@@ -19,6 +19,10 @@
 )
 from ..standin.trial import check_site
 from ..standin.work import make_spec, make_step
+from .fleet import Fleet, put_vm
+from .interface import EndedTask, EndReason, HoldAnswer, ListedVm, TaskName
+from .lease import reset_incarnation
+from .watch import Watch
 
 VMS = 4
 WHOLE_VM = Resources(CAPACITY.millicores, 100)
@@ -113,3 +117,60 @@
         return site
 
     assert check_site(run_scenario(scenario)) == []
+
+
+# The number of the last end that was known of the former incarnation was sent to the new one, which
+# forgot by it an end that nobody had seen. The task, which was done, started again.
+def test_end_of_the_next_incarnation_is_not_forgotten_before_it_is_seen():
+    async def scenario():
+        site = await start_site(vm_count=2)
+        simulator, small = site.vm_simulator, Resources(100, 100)
+        await submit(site, "n0", make_spec(make_step(20, need=small), seconds=0.05))
+        await asyncio.sleep(2.0)
+        simulator.late_orders, simulator.late_s = 1, 1.0
+        job = await submit(site, "n0", make_spec(make_step(1, need=small), seconds=0.05))
+        await asyncio.sleep(0.05)
+        (name,) = [
+            row.name
+            for row in site.nodes[find_leader(site)].leader.fleet.rows.values()
+            if any(run.task.job == job for run in row.runs.values())
+        ]
+        cut = asyncio.create_task(cut_off(site, name, 1.5))
+        await restart_vm(site, name, 0.1, 3.0)
+        await cut
+        await asyncio.sleep(5.0)
+        kinds = [event.kind for event in simulator.history if event.task.job == job]
+        assert kinds.count("start") == 1
+        return site
+
+    assert check_site(run_scenario(scenario)) == []
+
+
+class RestartedMeanwhile:
+    """Reports of a watch whose VM restarts while the ends that it has listed are recorded."""
+
+    def __init__(self, row):
+        self.row = row
+
+    def on_end(self, row, ended):
+        pass
+
+    def on_free_room(self):
+        pass
+
+    async def wait_recorded(self, timeout_s):
+        reset_incarnation(self.row, self.row.incarnation + 1, 0.0)
+        return True
+
+
+# The ends of the former incarnation counted as seen in the new one, which forgot as many.
+def test_ends_recorded_while_a_vm_restarts_do_not_count_as_seen_in_its_next_incarnation():
+    async def scenario():
+        fleet = Fleet()
+        row = put_vm(fleet, ListedVm("v", 1, "s", "a:1", "z", "r", (), CAPACITY, False))
+        watch = Watch(fleet, row, None, None, RestartedMeanwhile(row))
+        ended = EndedTask(7, TaskName("a", 0, 0, 0), 1, EndReason.DONE, "")
+        await watch._handle_lists(HoldAnswer(1000, 1, [], [ended]), 0.0)
+        assert (row.incarnation, row.seen) == (2, 0)
+
+    asyncio.run(scenario())
--- a/caroblead/dispatch/watch.py
+++ b/caroblead/dispatch/watch.py
@@ -75,14 +75,15 @@
 
     async def _hold(self, wait: bool = True):
         row, now_s = self.row, get_elapsed_s()
-        # A VM that has just been silent may have restarted: its clock may be another one now.
+        # A VM that has just been silent may have restarted: its clock and ends may be others now.
         known = row.clock_at_s > 0 and row.answered and not self.silent
         deadline = None
         if known and now_s - row.heard_s < GRANT_WHILE_HEARD_S:
             deadline = grant_deadline(self.fleet, row, self.reports.get_confirmed_s(), now_s)
         self.polls += 1
         wait_s = POLL_WAIT_S if known and wait else 0.0
-        return await self.vms.hold(row.make_target(), row.fence, row.seen, deadline, wait_s)
+        seen = row.seen if known else 0
+        return await self.vms.hold(row.make_target(), row.fence, seen, deadline, wait_s)
 
     def _handle_failure(self, answer: Refused | NoAnswer):
         row = self.row
@@ -94,7 +95,7 @@
             self.reports.on_fenced(row, row.fence)
 
     async def _handle_lists(self, answer: HoldAnswer, sent_s: float):
-        row = self.row
+        row, fence = self.row, self.row.fence
         if self.silent:
             self.silent = False
             log("vm:back", vm=row.name, silent_s=get_elapsed_s() - row.heard_s)
@@ -119,7 +120,8 @@
             self.reports.on_free_room()
         if seen > row.seen:
             if await self.reports.wait_recorded(UNRECORDED_POLL_S):
-                row.seen = max(row.seen, seen)
+                if row.fence == fence:
+                    row.seen = max(row.seen, seen)
                 await asyncio.sleep(BATCH_DELAY_S)
 
     def _set_pace(self, answer: HoldAnswer):
