A cap is a whole amount, however its number is written

Cause: a cap was taken over as any number. Amounts of resources are whole everywhere else, and the number of tasks that the cap still admits became a fraction, by which no list can be cut.

Change: 24000.0 and 2.4e4 are 24000; 24000.5 admits what 24000 does; 0.0 and null are no limit; a fraction below 1 becomes 1, since 0 would lift the limit. maxBodyBytes is whole as well. The numbers of the steps before, in a submission, may have decimal points (they were answered 400).

Why it works: whatever the JSON, the decoded caps are of type int, which the tests check.

Stand-ins write their numbers with decimal points now, and null for a cap that isn't set.

--- a/caroblead/platform/configuration.py
+++ b/caroblead/platform/configuration.py
@@ -30,7 +30,8 @@
     raw = check_object(orjson.loads(value), "configuration")
     configuration = Configuration(version=read_whole(raw, "version", low=1))
     limits = read_object(raw, "limits", {})
-    configuration.max_body_bytes = read_number(limits, "maxBodyBytes", configuration.max_body_bytes)
+    max_body_bytes = read_number(limits, "maxBodyBytes", configuration.max_body_bytes)
+    configuration.max_body_bytes = int(max_body_bytes)
     for route in read_list(raw, "routes"):
         queue = _decode_queue(check_object(route, "routes"))
         configuration.queues[queue.name] = queue
@@ -41,13 +42,23 @@
 
 def _add_team(configuration: Configuration, tenant: dict):
     cap = read_object(tenant, "cap", {})
-    quota = Resources(*(read_number(cap, name, 0) for name in ("cpu", "memMb", "gpu")))
+    quota = Resources(*(_read_limit(cap, name) for name in ("cpu", "memMb", "gpu")))
     team = TeamLimits(read_text(tenant, "name"), read_number(tenant, "weight", 1), quota)
     configuration.teams[team.name] = team
     for key in read_list(tenant, "apiKeys"):
         configuration.keys[check_text(key, "apiKeys")] = team.name
 
 
+def _read_limit(cap: dict, name: str) -> int:
+    """Reads a limit on amounts that are whole, of which operators may write fractions; 0 is none.
+
+    For example, 24000.5 admits what 24000 does. A fraction below 1 becomes 1 and not 0, which would
+    lift the limit.
+    """
+    limit = read_number(cap, name, 0)
+    return max(1, int(limit)) if limit > 0 else 0
+
+
 def _decode_queue(route: dict) -> JobQueue:
     return JobQueue(
         name=read_text(route, "name"),
--- a/caroblead/platform/configuration_test.py
+++ b/caroblead/platform/configuration_test.py
@@ -95,3 +95,51 @@
     assert view.version == 6
     view.consume(Batch([KeyedRecord(KEY, after)], 3, 3), False)
     assert view.version == 8
+
+
+# A cap of 24000.0 was taken over as a fraction, by which no list can be cut: nothing started any
+# more, of any team.
+@pytest.mark.parametrize(
+    ("written", "cores"),
+    [
+        ("24000", 24000),
+        ("24000.0", 24000),
+        ("2.4e4", 24000),
+        ("24000.5", 24000),
+        ("0.0", 0),
+        ("-0.0", 0),
+        ("null", 0),
+        # It is a limit, so it isn't 0, which is none.
+        ("0.5", 1),
+    ],
+)
+def test_cap_is_a_whole_amount_however_its_number_is_written(written, cores):
+    text = json.dumps(VALID).replace('"cpu": 1000', f'"cpu": {written}')
+    cap = decode_configuration(text.encode()).teams["t-1"].cap
+    assert cap == Resources(cores, 2000)
+    assert all(type(amount) is int for amount in cap)
+
+
+def test_largest_body_is_a_whole_amount_however_its_number_is_written():
+    for written in ("1000", "1000.0", "1e3", "1000.9"):
+        text = json.dumps(VALID).replace('"maxBodyBytes": 1000', f'"maxBodyBytes": {written}')
+        size = decode_configuration(text.encode()).max_body_bytes
+        assert (size, type(size)) == (1000, int)
+
+
+def write_numbers(value, write):
+    """Returns a document with each of its whole numbers written in another way."""
+    if isinstance(value, dict):
+        return {name: write_numbers(item, write) for name, item in value.items()}
+    if isinstance(value, list):
+        return [write_numbers(item, write) for item in value]
+    return write(value) if type(value) is int else value
+
+
+def test_version_with_decimal_points_means_what_the_same_one_with_whole_numbers_does():
+    whole = decode_configuration(json.dumps(VALID).encode())
+    points = decode_configuration(json.dumps(write_numbers(VALID, float)).encode())
+    assert points == whole
+    queue, team = points.queues["r-1"], points.teams["t-1"]
+    amounts = (points.version, points.max_body_bytes, queue.priority, queue.max_attempts, *team.cap)
+    assert all(type(amount) is int for amount in amounts)
--- a/caroblead/platform/jobs.py
+++ b/caroblead/platform/jobs.py
@@ -56,6 +56,7 @@
     after = read_list(raw, "after", [])
     if not all(_is_earlier(item, step_index) for item in after):
         raise ValueError("after: must be a list of the numbers of earlier steps")
+    after = [int(item) for item in after]
     return StepSpec(
         count=read_whole(raw, "count", low=1, high=MAX_TASKS_PER_STEP),
         need=Resources(*(_read_int(raw, name) for name in ("cpu", "memMb", "gpu"))),
@@ -80,7 +81,8 @@
 
 def _is_earlier(item: object, step_index: int) -> bool:
     """Returns whether a value is the number of a step before the one with this index."""
-    return isinstance(item, int) and not isinstance(item, bool) and 0 <= item < step_index
+    is_number = isinstance(item, int | float) and not isinstance(item, bool)
+    return is_number and item in range(step_index)
 
 
 def _read_int(raw: dict, name: str) -> int:
--- a/caroblead/platform/jobs_test.py
+++ b/caroblead/platform/jobs_test.py
@@ -73,3 +73,17 @@
     found = decode_job("a", encode_job(job)).spec
     assert found == spec
     assert found.steps[0] == StepSpec(2, spec.steps[0].need, largest / 1000, gang=True, fills=True)
+
+
+# The numbers of the steps before were refused if they were written with a decimal point.
+def test_job_with_decimal_points_means_what_the_same_one_with_whole_numbers_does():
+    texts = [
+        '{"steps": [{"count": 2, "cpu": 500, "memMb": 256, "estimatedMs": 900},'
+        ' {"count": 1, "cpu": 10, "after": [0]}], "repetitions": 2, "intervalMs": 100}',
+        '{"steps": [{"count": 2.0, "cpu": 500.0, "memMb": 2.56e2, "estimatedMs": 900.0},'
+        ' {"count": 1.0, "cpu": 1e1, "after": [0.0]}], "repetitions": 2.0, "intervalMs": 1e2}',
+    ]
+    whole, points = [decode_spec(text.encode()) for text in texts]
+    assert points == whole
+    step = points.steps[1]
+    assert all(type(amount) is int for amount in (step.count, *step.need, *step.after))
--- a/caroblead/standin/caller.py
+++ b/caroblead/standin/caller.py
@@ -13,17 +13,22 @@
 MAX_ATTEMPTS = 6
 RETRY_DELAY_S = 0.2
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
+# The cap of a team that has none.
+UNLIMITED = {"cpu": 0.0, "memMb": None}
 # Response statuses that guarantee that the job does not run.
 REJECTED_STATUSES = frozenset({400, 401, 404, 429, 503})
 
 
 def encode_step(step: StepSpec) -> dict:
-    """Returns a step as callers encode it in the body of a request, without empty fields."""
+    """Returns a step as callers encode it in the body of a request, without empty fields.
+
+    Amounts have a decimal point, which JSON allows in every number.
+    """
     fields = {
         "count": step.count,
-        "cpu": step.need.millicores,
-        "memMb": step.need.memory_mb,
-        "estimatedMs": int(step.estimate_s * 1000),
+        "cpu": float(step.need.millicores),
+        "memMb": float(step.need.memory_mb),
+        "estimatedMs": step.estimate_s * 1000,
         "after": list(step.after),
         "gang": step.gang,
         "antiAffinity": step.max_per_vm,
@@ -33,10 +38,13 @@
 
 
 def encode_configuration(version: int, queues: dict[str, JobQueue], *keys: str) -> bytes:
-    """Returns a configuration with a team for each key, encoded as the operators publish it."""
+    """Returns a configuration with a team for each key, encoded as the operators publish it.
+
+    Its numbers are written in all the ways that JSON allows.
+    """
     routes = [_encode_queue(queue) for queue in queues.values()]
     tenants = [
-        {"name": f"team-{number}", "weight": 100, "apiKeys": [key], "cap": {}}
+        {"name": f"team-{number}", "weight": 100.0, "apiKeys": [key], "cap": UNLIMITED}
         for number, key in enumerate(keys)
     ]
     return orjson.dumps({"version": version, "routes": routes, "tenants": tenants})
@@ -49,9 +57,9 @@
         "pathPrefix": queue.path,
         "service": queue.service,
         "priority": queue.priority,
-        "maxAttempts": queue.max_attempts,
+        "maxAttempts": float(queue.max_attempts),
         "targetFactor": queue.stretch,
-        "targetLatencyMs": int(queue.latency_s * 1000),
+        "targetLatencyMs": queue.latency_s * 1000,
     }
     if queue.advice is not None:
         route["recommendation"] = {
