An error about one step, job or VM costs only itself

Cause: the leader caught errors by the tick, in which it goes over all steps of all jobs.

Change: dispatch/failure.py; each loop handles one item at a time through Failures.call. A failure is counted (failures_total) and logged with its origin, each activity once a second. What was planned or booked of a step before its error is taken back.

Why it works: no exception about one item leaves the call for it, so the loop goes on with the next.

--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -9,13 +9,13 @@
 from ..core.clock import get_elapsed_s
 from ..core.logsink import log, log_routine
 from ..core.timer import Timer, await_and_log_errors, call_and_log_errors
-from ..jobs.data import FINAL_STATES, Job, JobState, Progress, RunRecord, StepKey
+from ..jobs.data import FINAL_STATES, Job, JobState, Progress, RunRecord
 from ..jobs.ledger import MALFORMED, Change, JobAdded, JobCancelled, StoredJob
 from ..jobs.progressparts import ProgressPart, decode_parts
 from .begun import BEGUN_INTERVAL_S, note_begun, record_begun
 from .commit import CommitQueue
-from .completion import drop_runs, list_broken_gang, settle_end
-from .crash import clear_survivors, list_condemned, note_crash, note_loss
+from .completion import drop_runs, settle_end
+from .crash import note_crash
 from .doubt import doubt_vm
 from .fleet import (
     Fleet,
@@ -24,8 +24,8 @@
     put_vm,
     release_run,
 )
-from .health import STALL_AVOID_S, mark_slow, record_end
-from .interface import EndedTask, EndReason, RunningTask, StartRefusal
+from .health import STALL_AVOID_S, record_end
+from .interface import EndedTask, EndReason, ListedVm, RunningTask, StartRefusal
 from .lateorder import (
     expect_late_orders,
     handle_unknown_run,
@@ -34,19 +34,18 @@
     note_late_order,
 )
 from .learning.learning import Learning
-from .lease import is_lease_expired, list_expired_runs, reset_incarnation
+from .lease import reset_incarnation
 from .loadreport import start_load_reports
 from .orders import OrderSender
 from .rank import take_share_token
 from .retention import DROP_INTERVAL_S, drop_old_records, drop_stray_parts
+from .sweep import SWEEP_INTERVAL_S, Sweep
 from .takeover import inherit_run
 from .term import LeaderDependencies, TermState
 from .tick import run_ticks
 from .watch import Watch
 from .work import JobWork, StepWork, back_off, count_required_runs, open_job
 
-SWEEP_INTERVAL_S = 0.1
-
 
 class Leader:
     """The tables of one term and the tasks and timers that work on them."""
@@ -62,11 +61,11 @@
         )
         self.watch_tasks: dict[str, asyncio.Task] = {}
         self.vm_watches: dict[str, Watch] = {}
-        self.broken_since: dict[StepKey, float] = {}
         self.commit = CommitQueue(dependencies.log, term, term_confirmed_s, self.lose_term)
         self.order_sender = OrderSender(self.fleet, dependencies.vms, self)
         self.state = TermState(dependencies, term, self.fleet, self.commit, self.order_sender)
         self.learning = Learning(self.state)
+        self.sweep = Sweep(self.state, self, self._finish, self._record_steps)
         self.unserved_jobs: set[str] = set()
         self.tasks: list[asyncio.Task] = []
         self.timers: list[Timer] = []
@@ -78,7 +77,7 @@
         self._take_over_jobs()
         subscribe, ledger = self.dependencies.timers.subscribe, self.dependencies.ledger
         self.timers += [
-            subscribe(SWEEP_INTERVAL_S, self._sweep),
+            subscribe(SWEEP_INTERVAL_S, self.sweep.run),
             subscribe(DROP_INTERVAL_S, lambda: drop_old_records(ledger, self.commit)),
             subscribe(BEGUN_INTERVAL_S, lambda: record_begun(self.state)),
             *start_load_reports(self.state),
@@ -131,7 +130,9 @@
         for row in self.fleet.rows.values():
             # The VM has restarted since some of its runs were recorded.
             if any(run.incarnation < row.incarnation for run in row.runs.values()):
-                self._note_crash(row, row.incarnation)
+                self.state.failures.call(
+                    "crashes", row.name, self._note_crash, row, row.incarnation
+                )
 
     def _decode(self, stored: StoredJob) -> Job | None:
         """Returns the job of a record, or ``None`` for a malformed one, which is logged."""
@@ -220,12 +221,15 @@
                 if not (row.runs or row.unknown_runs or has_late_orders(row, get_elapsed_s())):
                     self._remove_row(row)
         for vm in listed.values():
-            row = self.fleet.rows.get(vm.name)
-            if row is not None and vm.incarnation > row.incarnation:
-                self.on_restarted(row, vm.incarnation)
-            row = put_vm(self.fleet, vm)
-            if row.name not in self.watch_tasks:
-                self._start_watch(row)
+            self.state.failures.call("registry", vm.name, self._update_vm, vm)
+
+    def _update_vm(self, vm: ListedVm):
+        row = self.fleet.rows.get(vm.name)
+        if row is not None and vm.incarnation > row.incarnation:
+            self.on_restarted(row, vm.incarnation)
+        row = put_vm(self.fleet, vm)
+        if row.name not in self.watch_tasks:
+            self._start_watch(row)
 
     def _start_watch(self, row: VmRow):
         watch = Watch(self.fleet, row, self.dependencies.vms, self.order_sender, self)
@@ -370,37 +374,3 @@
             elif reason is StartRefusal.INVALID:
                 back_off(step.work, get_elapsed_s())
         self.on_gone(run, f"refused: {reason}")
-
-    # Periodic work.
-
-    def _sweep(self):
-        now_s = get_elapsed_s()
-        for row in list(self.fleet.rows.values()):
-            if row.runs and is_lease_expired(self.fleet, row, now_s):
-                silent_s = round(now_s - (row.heard_s or self.fleet.term_began_s), 3)
-                log("vm:lapsed", vm=row.name, runs=len(row.runs), silent_s=silent_s)
-                expired = list_expired_runs(self.fleet, row, now_s)
-                if not row.in_registry and not row.listed.draining:
-                    table, open_jobs = self.state.crash_table, self.state.open_jobs
-                    self._record_steps(note_loss(table, open_jobs, row, expired))
-                for run in expired:
-                    self.on_gone(run, "the lease of its VM has expired")
-        for work in self.state.open_jobs.values():
-            for step in work.steps.values():
-                for run in list_broken_gang(step, now_s, self.broken_since):
-                    self.order_sender.stop(run)
-        for name in mark_slow(self.state.health, now_s):
-            log("vm:slow", vm=name, slowness=round(self.state.health.speeds[name].slowness, 2))
-        known = self.state.open_jobs
-        self.broken_since = {k: at_s for k, at_s in self.broken_since.items() if k.job in known}
-        self._sweep_crashes(now_s)
-        self.state.wake.set()
-
-    def _sweep_crashes(self, now_s: float):
-        table = self.state.crash_table
-        self._record_steps(clear_survivors(table, now_s, self.fleet.term_began_s))
-        for step, index in list_condemned(table, now_s):
-            if step.work.state not in FINAL_STATES:
-                task, crashes = step.make_task_name(index), step.step_progress.crashes[index]
-                log("job:given_up", job=task.job, task=str(task), crashes=crashes.total)
-                self._finish(step.work, JobState.FAILED)
--- a/caroblead/dispatch/learning/learning.py
+++ b/caroblead/dispatch/learning/learning.py
@@ -160,7 +160,9 @@
             return
         for step in work.steps.values():
             if step.waiting and not (step.spec.endless or step.spec.fills):
-                call_and_log_errors(self._set_expectation, step, get_elapsed_s())
+                self.state.failures.call(
+                    "learning", step.key, self._set_expectation, step, get_elapsed_s()
+                )
 
     def _set_expectation(self, step: StepWork, now_s: float):
         prediction = predict(self.learner.durations, make_features(step), now_s)
@@ -171,12 +173,12 @@
         """Updates the expectations and the speeds, and writes a snapshot when one is due."""
         if self.state.lost:
             return
-        now_s = get_elapsed_s()
-        center_speeds(self.learner.speeds, self.state.fleet.rows, now_s)
-        self._set_speeds()
-        self._set_running(now_s)
+        now_s, call = get_elapsed_s(), self.state.failures.call
+        call("learning", "", center_speeds, self.learner.speeds, self.state.fleet.rows, now_s)
+        call("learning", "", self._set_speeds)
+        call("learning", "", self._set_running, now_s)
         for work in self.state.open_jobs.values():
-            self.set_expectations(work)
+            call("learning", work.job.id, self.set_expectations, work)
         if now_s >= self.snapshot_due_s and not self.state.resigning:
             self.snapshot_due_s = now_s + SNAPSHOT_INTERVAL_S
             self._write_snapshot(now_s)
--- a/caroblead/dispatch/loadreport.py
+++ b/caroblead/dispatch/loadreport.py
@@ -27,6 +27,7 @@
     make_key,
 )
 from .eviction import count_fit
+from .failure import Failures
 from .fleet import Fleet, VmRow, is_usable
 from .interface import Configuration, find_service
 from .loadmeter import Backlog, LoadMeter, compute_work, update_rates
@@ -86,27 +87,44 @@
 
 
 def measure_backlogs(
-    works: list[JobWork], fleet: Fleet, configuration: Configuration, now_s: float, wall_s: float
+    works: list[JobWork],
+    fleet: Fleet,
+    configuration: Configuration,
+    now_s: float,
+    wall_s: float,
+    failures: Failures | None = None,
 ) -> dict[str, Backlog]:
-    """Returns what waits for room in each queue, and how much of that is free now."""
+    """Returns what waits for room in each queue, and how much of that is free now.
+
+    An unexpected error about a job goes to ``failures``; the job is left out then.
+    """
+    failures = failures or Failures()
     vms, used = make_vms(fleet, now_s), dict(fleet.used)
     backlogs: dict[str, Backlog] = {}
-    for work in works:
-        if now_s < work.ready_s:
-            continue
+
+    def add_job(work: JobWork):
         service = find_service(configuration, work.job.queue)
         for step in work.steps.values():
-            if step.waiting and not step.spec.endless and not step.advice.pending:
-                if not is_step_ready(step) or find_tier(step, wall_s) is Tier.USELESS:
-                    continue
-                count = _count_waiting(step, vms, service, configuration, used)
-                if count:
-                    _add_step(backlogs, step, service, count, wall_s)
+            if not _waits_for_room(step, wall_s):
+                continue
+            count = _count_waiting(step, vms, service, configuration, used)
+            if count:
+                _add_step(backlogs, step, service, count, wall_s)
+
+    for work in works:
+        if now_s >= work.ready_s:
+            failures.call("backlog", work.job.id, add_job, work)
     for backlog in backlogs.values():
         backlog.slots = _count_slots(vms, backlog)
     return backlogs
 
 
+def _waits_for_room(step: StepWork, wall_s: float) -> bool:
+    if not step.waiting or step.spec.endless or step.advice.pending:
+        return False
+    return is_step_ready(step) and find_tier(step, wall_s) is not Tier.USELESS
+
+
 def _count_waiting(
     step: StepWork,
     vms: Vms,
@@ -195,7 +213,8 @@
 class LoadReporter:
     """Samples the load of a term and makes the reports; ``reported`` tells that waits were last."""
 
-    def __init__(self, meter: LoadMeter, term: int, now_s: float):
+    def __init__(self, meter: LoadMeter, term: int, now_s: float, failures: Failures | None = None):
+        self.failures = failures or Failures()
         self.meter = meter
         self.term = term
         self.sampled_s = now_s
@@ -221,7 +240,7 @@
             self.skip(now_s)
             return None
         self.sampled_s = now_s
-        backlogs = measure_backlogs(works, fleet, configuration, now_s, wall_s)
+        backlogs = measure_backlogs(works, fleet, configuration, now_s, wall_s, self.failures)
         update_rates(self.meter, backlogs, compute_potentials(fleet), elapsed_s)
         if now_s - fleet.term_began_s < QUIET_S:
             return None
@@ -239,7 +258,7 @@
     """Publishes load reports during a term if admission control is enabled; returns the timers."""
     if state.load_meter is None:
         return []
-    reporter = LoadReporter(state.load_meter, state.term, get_elapsed_s())
+    reporter = LoadReporter(state.load_meter, state.term, get_elapsed_s(), state.failures)
     subscribe = state.dependencies.timers.subscribe
     return [subscribe(REPORT_INTERVAL_S, lambda: publish_report(state, reporter))]
 
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -10,6 +10,7 @@
 from ..core.resource import NOTHING
 from ..jobs.data import StepKey
 from .backfill import list_backfillable
+from .failure import Failures
 from .features import Features
 from .fleet import Fleet, VmRow, is_usable
 from .interface import Configuration, find_service
@@ -31,7 +32,6 @@
     Placement,
     Plan,
     PlanningState,
-    Pool,
     book_room,
     count_allowance,
     find_pool,
@@ -60,6 +60,7 @@
     features: Features = Features(),
     limits: OrderLimits = OrderLimits(),
     shares: ShareTable | None = None,
+    failures: Failures | None = None,
 ) -> Plan:
     """Returns the plan for now under the configuration in force.
 
@@ -70,7 +71,10 @@
 
     For example, if one VM has a core free, a step of two tasks that need a core each gets one
     placement, or none if it is a gang.
+
+    An unexpected error about a step goes to ``failures``; the step is left out then.
     """
+    failures = failures or Failures()
     rows = [
         row
         for row in fleet.rows.values()
@@ -97,15 +101,19 @@
     if features.learned_durations:
         state.log_speeds = list_log_speeds(rows)
     shares = shares if features.fair_share else None
-    ranked = rank_steps(steps, wall_s, shares, configuration.teams, now_s)
+    ranked = rank_steps(steps, wall_s, shares, configuration.teams, now_s, failures)
     for rank, step in ranked:
         if len(state.plan.placements) >= limits.max_starts:
             break
         reservations.block_until(rank)
-        job = step.work.job
-        service = find_service(configuration, job.queue)
-        pool = find_pool(state, service, step.spec.label)
-        _plan_step(state, step, rank, pool, configuration.teams.get(job.team))
+        placed, evicted = len(state.plan.placements), len(state.plan.evictions)
+        try:
+            _plan_step(state, step, rank, configuration)
+        except Exception as error:
+            failures.note("plan", step.key, error)
+            # Only a part of a gang may have been placed.
+            del state.plan.placements[placed:]
+            del state.plan.evictions[evicted:]
     state.plan.lapsed = reservations.lapsed
     fleet.steps_keeping_quota = state.quota.steps.total()
     if shares is not None and _has_step_without_room(state, ranked, configuration):
@@ -129,8 +137,10 @@
     return False
 
 
-def _plan_step(state: PlanningState, step: StepWork, rank: tuple, pool: Pool, team):
-    terms = step.work.job.queue.advice
+def _plan_step(state: PlanningState, step: StepWork, rank: tuple, configuration: Configuration):
+    queue = step.work.job.queue
+    pool = find_pool(state, find_service(configuration, queue), step.spec.label)
+    team, terms = configuration.teams.get(step.work.job.team), queue.advice
     need = get_booked_need(step.spec)
     fitting = may_fit(state, pool, need)
     if not fitting and not may_make_room(state, step):
--- a/caroblead/dispatch/rank.py
+++ b/caroblead/dispatch/rank.py
@@ -17,6 +17,7 @@
 
 from ..jobs.data import Job
 from .chain import estimate_chain
+from .failure import Failures
 from .interface import TeamLimits
 from .share import ShareTable, mark_over_share
 from .work import StepWork
@@ -80,21 +81,24 @@
     shares: ShareTable | None = None,
     teams: dict[str, TeamLimits] | None = None,
     now_s: float = 0.0,
+    failures: Failures | None = None,
 ) -> list[tuple[tuple, StepWork]]:
-    """Returns the steps with their ranks in the order of service, under fair share if given."""
+    """Returns the steps with their ranks in the order of service, under fair share if given.
+
+    An unexpected error goes to ``failures``. A step that can't be ranked is left out.
+    """
+    failures = failures or Failures()
+    ranked = []
+    for step in steps:
+        tier = failures.call("rank", step.key, _find_own_tier, step, wall_s, shares)
+        if tier is not None:
+            ranked.append(((tier, step.work.job.queue.priority, step.work.due_s, step.key), step))
+    ranked.sort(key=lambda item: item[0])
     if shares is None:
-        return sorted(((rank_step(step, wall_s), step) for step in steps), key=lambda item: item[0])
-    ranked = [
-        ((_find_expected_tier(step, wall_s), step.work.job.queue.priority, step.work.due_s), step)
-        for step in steps
-    ]
-    ranked.sort(key=lambda item: (item[0], item[1].key))
-    claiming = [step for (tier, _, _), step in ranked if tier is not Tier.USELESS]
-    mark_over_share(shares, claiming, teams or {}, now_s)
-    final = [
-        ((_lower_if_over(tier, step, shares), priority, due_s, step.key), step)
-        for (tier, priority, due_s), step in ranked
-    ]
+        return ranked
+    claiming = [step for (tier, *_), step in ranked if tier is not Tier.USELESS]
+    failures.call("shares", "", mark_over_share, shares, claiming, teams or {}, now_s)
+    final = [((_lower_if_over(tier, step, shares), *rest), step) for (tier, *rest), step in ranked]
     if shares.over:
         final.sort(key=lambda item: item[0])
     return final
@@ -102,8 +106,16 @@
 
 def find_tier(step: StepWork, wall_s: float, shares: ShareTable | None = None) -> Tier:
     """Returns the tier of a step, by the shares as of the last tick where fair share is enabled."""
-    if shares is not None:
-        return _lower_if_over(_find_expected_tier(step, wall_s), step, shares)
+    tier = _find_own_tier(step, wall_s, shares)
+    return tier if shares is None else _lower_if_over(tier, step, shares)
+
+
+def _find_own_tier(step: StepWork, wall_s: float, shares: ShareTable | None) -> Tier:
+    """Returns the tier of a step, whatever its team uses."""
+    return _find_planned_tier(step, wall_s) if shares is None else _find_expected_tier(step, wall_s)
+
+
+def _find_planned_tier(step: StepWork, wall_s: float) -> Tier:
     work, endless = step.work, step.spec.endless
     if endless and step.step_progress.last_run >= step.spec.count:
         return Tier.SERVING
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -11,6 +11,7 @@
 from .commit import CommitQueue
 from .crash import CrashTable
 from .evacuation import EvacuationState, ZoneReading
+from .failure import Failures
 from .features import Features
 from .fleet import Fleet
 from .health import HealthTable
@@ -69,6 +70,7 @@
     advice_shares: AdviceShares = field(default_factory=AdviceShares)
     shares: ShareTable = field(default_factory=ShareTable)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
+    failures: Failures = field(default_factory=Failures)
     lost: bool = False
     resigning: bool = False
     on_steps_opened: Callable[[JobWork], None] = lambda work: None
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -22,7 +22,7 @@
     list_cold_vms,
     report_waiting_steps,
 )
-from .fleet import Fleet, Run, book_run
+from .fleet import Fleet, Run, book_run, release_run
 from .health import is_slow
 from .interface import find_service
 from .planning import Placement, plan_starts
@@ -31,6 +31,7 @@
 from .share import ShareTable, TeamUse, clear_over_share, report_changes, sample_use
 from .term import TermState, is_registry_current
 from .work import (
+    JobWork,
     StepAdvice,
     StepWork,
     add_run,
@@ -38,6 +39,7 @@
     get_booked_need,
     is_step_ready,
     open_due_occurrences,
+    remove_run,
 )
 
 TICK_GAP_S = 0.01
@@ -74,15 +76,12 @@
         return
     now_s, wall_s = get_elapsed_s(), get_wall_s()
     features = state.dependencies.features
+    call = state.failures.call
     if features.fair_share:
-        sample_use(state.shares, state.fleet, now_s)
+        call("shares", "", sample_use, state.shares, state.fleet, now_s)
     steps = []
     for work in state.open_jobs.values():
-        if work.occurrences < max(1, work.job.spec.repeats):
-            if open_due_occurrences(work, wall_s):
-                state.on_steps_opened(work)
-        if now_s >= work.ready_s and work.is_recordable:
-            steps += [step for step in work.steps.values() if is_step_ready(step)]
+        steps += call("open", work.job.id, _list_ready, state, work, now_s, wall_s) or ()
     if not steps and features.fair_share:
         clear_over_share(state.shares)
         _log_share_changes(state)
@@ -97,11 +96,20 @@
     limits = state.order_sender.window.make_limits()
     if not limits.max_starts:
         return
-    report_waiting_steps(state, steps, now_s)
+    call("evacuations", "", report_waiting_steps, state, steps, now_s)
     slow = {name for name in state.health.speeds if is_slow(state.health, name, now_s)}
     slow |= list_cold_vms(state, now_s)
     plan = plan_starts(
-        steps, state.fleet, configuration, now_s, wall_s, slow, features, limits, state.shares
+        steps,
+        state.fleet,
+        configuration,
+        now_s,
+        wall_s,
+        slow,
+        features,
+        limits,
+        state.shares,
+        state.failures,
     )
     if features.fair_share:
         _log_share_changes(state)
@@ -115,11 +123,21 @@
         state.fleet.lapsed_holds += 1
         log("reservation:lapsed", step=str(step.key), lapses=step.hold.lapses)
     for step in _select_requests(state, steps, plan.advice_needed, wall_s):
-        step.advice.pending = True
         service = find_service(configuration, step.work.job.queue)
+        step.advice.pending = True
         state.order_sender.spawn(await_and_log_errors(_ask_advice(state, step, service)))
 
 
+def _list_ready(state: TermState, work: JobWork, now_s: float, wall_s: float) -> list[StepWork]:
+    """Opens what has become due of a job, and returns its steps that can start."""
+    if work.occurrences < max(1, work.job.spec.repeats):
+        if open_due_occurrences(work, wall_s):
+            state.on_steps_opened(work)
+    if now_s < work.ready_s or not work.is_recordable:
+        return []
+    return [step for step in work.steps.values() if is_step_ready(step)]
+
+
 def _log_share_changes(state: TermState):
     for name, is_over in report_changes(state.shares):
         use = state.shares.teams.get(name, TeamUse())
@@ -140,9 +158,13 @@
 ) -> list[StepWork]:
     if not state.dependencies.features.sized_advice or not needed:
         return needed
-    pending = [step for step in steps if step.advice.pending]
-    shares = _get_shares(state)
-    tiers = {step.key: find_tier(step, wall_s, shares) for step in (*needed, *pending)}
+    shares, tiers = _get_shares(state), {}
+    for step in (*needed, *(step for step in steps if step.advice.pending)):
+        tier = state.failures.call("advice", step.key, find_tier, step, wall_s, shares)
+        if tier is not None:
+            tiers[step.key] = tier
+    needed = [step for step in needed if step.key in tiers]
+    pending = [step for step in steps if step.advice.pending and step.key in tiers]
     queue = state.dependencies.advice_queue
     max_useless = count_useless_requests(len(queue.advisers))
     return select_requests(needed, pending, tiers, not queue.waiting, max_useless)
@@ -163,20 +185,43 @@
 
 
 def _start_placements(state: TermState, placements: list[Placement], now_s: float):
-    starts: list[tuple[StepWork, list[Run]]] = []
-    gangs: dict[StepKey, list[Run]] = {}
+    gangs: dict[StepKey, list[Placement]] = {}
+    units = []
     for placement in placements:
-        step = placement.step
-        runs = gangs.get(step.key, [])
-        if not runs:
-            step.step_progress.last_run += 1
-            starts.append((step, runs))
-        if step.spec.gang:
-            gangs[step.key] = runs
-        # The members of a gang share one run number.
-        runs.append(_book_placement(state, placement, step.step_progress.last_run, now_s))
-    for step, runs in starts:
-        state.commit.mark_dirty(step.work, partial(_send_starts, state, step, runs))
+        if not placement.step.spec.gang:
+            units.append([placement])
+        elif placement.step.key in gangs:
+            gangs[placement.step.key].append(placement)
+        else:
+            gangs[placement.step.key] = [placement]
+            units.append(gangs[placement.step.key])
+    for unit in units:
+        step = unit[0].step
+        state.failures.call("start", step.key, _start_unit, state, step, unit, now_s)
+
+
+def _start_unit(state: TermState, step: StepWork, unit: list[Placement], now_s: float):
+    """Books a task, or all members of a gang, and sends the orders once that is recorded.
+
+    The members of a gang share one run number.
+    """
+    step.step_progress.last_run += 1
+    number = step.step_progress.last_run
+    try:
+        runs = [_book_placement(state, placement, number, now_s) for placement in unit]
+    except Exception:
+        _withdraw_unit(state, unit, number)
+        raise
+    state.commit.mark_dirty(step.work, partial(_send_starts, state, step, runs))
+
+
+def _withdraw_unit(state: TermState, unit: list[Placement], number: int):
+    for placement in unit:
+        task = placement.step.make_task_name(placement.index)
+        run = placement.vm.runs.get((task, number))
+        if run is not None:
+            release_run(state.fleet, run)
+            remove_run(placement.step, run)
 
 
 def _book_placement(state: TermState, placement: Placement, number: int, now_s: float) -> Run:
--- a/caroblead/node/gauges.py
+++ b/caroblead/node/gauges.py
@@ -40,6 +40,7 @@
         gauges["runs_backfilled_total"] = float(leader.fleet.backfilled_runs)
         gauges["steps_keeping_quota"] = float(leader.fleet.steps_keeping_quota)
         gauges["records_refused_total"] = float(leader.commit.refused)
+        gauges["failures_total"] = float(leader.state.failures.counts.total())
         gauges["jobs_unserved"] = float(len(leader.unserved_jobs))
         gauges["runs"] = float(sum(len(row.runs) for row in leader.fleet.rows.values()))
         gauges.update(leader.learning.list_gauges())
--- a/caroblead/node/mechanism_test.py
+++ b/caroblead/node/mechanism_test.py
@@ -20,6 +20,7 @@
     planning,
     room,
     score,
+    sweep,
     tick,
     watch,
 )
@@ -74,8 +75,8 @@
     def list_sent(fleet, row, now_s):
         return [run for run in row.runs.values() if run.phase is not RunPhase.RECORDING]
 
-    monkeypatch.setattr(leader, "is_lease_expired", is_silent)
-    monkeypatch.setattr(leader, "list_expired_runs", list_sent)
+    monkeypatch.setattr(sweep, "is_lease_expired", is_silent)
+    monkeypatch.setattr(sweep, "list_expired_runs", list_sent)
 
 
 def ignore_leases_of_the_former_leader(monkeypatch):
