What is due of a job opens bit by bit, and what is done of it costs nothing more

With 90,000 steps a tick took longer than a follower waits for a heartbeat, which goes out between two ticks; each new leader did the same.

Change: only the first overdue occurrences of a job are open at a time, by how many steps are ready (300 in all, at least 20 a job). An occurrence that is done is closed; progress records say up to which one all are done. A plan holds 250 starts at most, also of one wide step.

Why it works: all occurrences of a job need the same and are served in order, so those that aren't open could not start before the open ones; and the cost of each activity depends on what can start or runs, and no longer on what was accepted.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 bench: $(VENV)/ready
 	$(BIN)/python -m caroblead.bench
 	$(BIN)/python -m caroblead.bench.dispatch
+	$(BIN)/python -m caroblead.bench.backlog
 	$(BIN)/python -m caroblead.bench.durations
 
 faults: $(VENV)/ready
--- a/caroblead/bench/backlog.py
+++ b/caroblead/bench/backlog.py
@@ -1,11 +1,13 @@
 """Measures what a backlog of accepted work costs the leader: ``python -m caroblead.bench.backlog``.
 
-Two schedules of overdue occurrences are submitted to a site in virtual time, then small jobs of the
-a more urgent queue, and at last the leader is killed. Durations are of processor time on this machine. The
-event loop stands still while a single callback runs, and with it the heartbeat of the leader.
+Two schedules of overdue occurrences are submitted to a site in virtual time, then small jobs of a
+more urgent queue, and at last the leader is killed. Durations are of processor time on this
+machine. The event loop stands still while a callback runs, and with it the leader's heartbeat.
+Garbage collection is off meanwhile: beside the stand-ins it takes longer than in a node.
 """
 
 import asyncio
+import gc
 import time
 from dataclasses import dataclass, replace
 
@@ -49,11 +51,11 @@
         function = getattr(owner, name)
 
         def measured(*arguments, **options):
-            began_s = time.perf_counter()
+            began_s = time.process_time()
             try:
                 return function(*arguments, **options)
             finally:
-                self._add(time.perf_counter() - began_s)
+                self._add(time.process_time() - began_s)
 
         setattr(owner, name, measured)
         return function
@@ -95,9 +97,11 @@
         (asyncio.Handle, "_run", cost.callbacks),
     ]
     originals = [(owner, name, longest.watch(owner, name)) for owner, name, longest in watched]
+    gc.disable()
     try:
         run_scenario(lambda: _play(cost))
     finally:
+        gc.enable()
         for owner, name, function in originals:
             setattr(owner, name, function)
     return cost
--- a/caroblead/dispatch/completion.py
+++ b/caroblead/dispatch/completion.py
@@ -10,7 +10,7 @@
 from ..jobs.data import FINAL_STATES, JobState
 from .fleet import Run
 from .interface import EndReason
-from .work import JobWork, StepWork, is_job_done, remove_run
+from .work import JobWork, StepWork, close_if_done, is_job_done, remove_run
 
 # The remaining members of a gang are stopped this long after the first member ended.
 GANG_GRACE_S = 0.4
@@ -37,6 +37,8 @@
     if index not in step.step_progress.done and saved and step.spec.checkpoints:
         indexes = range(step.spec.count) if step.spec.gang else (index,)
         step.step_progress.checkpoints.update(dict.fromkeys(indexes, saved))
+    if reason is EndReason.DONE:
+        close_if_done(work, run.task.occurrence)
     if work.state not in FINAL_STATES and is_job_done(work):
         work.state = JobState.DONE
     return settlement
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -172,7 +172,7 @@
         if self.state.load_meter is not None:
             self.state.load_meter.count_job(job, team)
         self.state.open_jobs[job.id] = work
-        self.learning.set_expectations(work)
+        self.learning.set_expectations(work.steps.values())
         return work
 
     def _inherit_run(self, step: StepWork, record: RunRecord):
--- a/caroblead/dispatch/learning/learning.py
+++ b/caroblead/dispatch/learning/learning.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ...core.clock import get_elapsed_s, get_wall_s
 from ...core.logsink import log
@@ -16,7 +16,7 @@
 from ..fleet import Run, RunPhase, VmRow
 from ..interface import EndReason
 from ..term import TermState
-from ..work import JobWork, StepWork
+from ..work import StepWork
 from .duration import (
     MIN_WORK_S,
     RunFeatures,
@@ -154,11 +154,11 @@
 
     # Using what is learned.
 
-    def set_expectations(self, work: JobWork):
-        """Sets what is expected of the runs of a job's steps."""
+    def set_expectations(self, steps: Iterable[StepWork]):
+        """Sets what is expected of the runs of steps."""
         if not self.enabled:
             return
-        for step in work.steps.values():
+        for step in steps:
             if step.waiting and not (step.spec.endless or step.spec.fills):
                 self.state.failures.call(
                     "learning", step.key, self._set_expectation, step, get_elapsed_s()
@@ -178,7 +178,7 @@
         call("learning", "", self._set_speeds)
         call("learning", "", self._set_running, now_s)
         for work in self.state.open_jobs.values():
-            call("learning", work.job.id, self.set_expectations, work)
+            call("learning", work.job.id, self.set_expectations, work.steps.values())
         if now_s >= self.snapshot_due_s and not self.state.resigning:
             self.snapshot_due_s = now_s + SNAPSHOT_INTERVAL_S
             self._write_snapshot(now_s)
--- a/caroblead/dispatch/loadreport.py
+++ b/caroblead/dispatch/loadreport.py
@@ -96,6 +96,9 @@
 ) -> dict[str, Backlog]:
     """Returns what waits for room in each queue, and how much of that is free now.
 
+    Occurrences that aren't open yet don't count: their job is late before their turn comes, and
+    work that is in time goes first.
+
     An unexpected error about a job goes to ``failures``; the job is left out then.
     """
     failures = failures or Failures()
--- a/caroblead/dispatch/orderwindow.py
+++ b/caroblead/dispatch/orderwindow.py
@@ -19,6 +19,8 @@
 SAMPLES = 32
 MIN_WINDOW = 8
 MAX_WINDOW = 1000
+# More starts are decided in several plans, with the event loop free between them.
+MAX_STARTS_PER_PLAN = 250
 SHRINK_FACTOR = 0.5
 # How much the window grows with each prompt answer.
 GROWTH = 0.5
@@ -38,7 +40,7 @@
 class OrderLimits:
     """What a plan may contain: so many starts, and no ticket that expires within the margin."""
 
-    max_starts: int = MAX_WINDOW
+    max_starts: int = MAX_STARTS_PER_PLAN
     ticket_margin_s: float = MIN_TICKET_MARGIN_S
 
 
@@ -72,7 +74,8 @@
         """Returns the limits for the next plan."""
         delay_s = statistics.median(self.delays_s) if self.delays_s else 0.0
         margin_s = max(MIN_TICKET_MARGIN_S, TICKET_MARGIN_FACTOR * delay_s)
-        return OrderLimits(max(0, int(self.size) - self.count_open()), margin_s)
+        open_left = max(0, int(self.size) - self.count_open())
+        return OrderLimits(min(MAX_STARTS_PER_PLAN, open_left), margin_s)
 
     def get_usual_answer_s(self) -> float:
         """Returns how long VMs usually take to answer an order now, in seconds."""
--- a/caroblead/dispatch/planning.py
+++ b/caroblead/dispatch/planning.py
@@ -166,6 +166,8 @@
             return
     else:
         _add_placements(state, step, chosen)
+        if len(state.plan.placements) >= state.limits.max_starts:
+            return
         if fitting and state.features.kept_quota:
             _keep_quota(state, step, rank, candidates, len(step.waiting) - len(chosen), team)
     if step.spec.gang and len(step.waiting) < step.spec.count:
@@ -237,7 +239,10 @@
     if step.spec.gang:
         if len(indexes) < step.spec.count or allowance < len(indexes):
             return []
-    indexes = indexes[: min(len(indexes), allowance)]
+        starts_left = len(indexes)
+    else:
+        starts_left = max(0, state.limits.max_starts - len(state.plan.placements))
+    indexes = indexes[: min(len(indexes), allowance, starts_left)]
     if not indexes:
         return []
     slots = count_slots(step, candidates, state, need)
--- a/caroblead/dispatch/term.py
+++ b/caroblead/dispatch/term.py
@@ -1,7 +1,7 @@
 """The state of one term of the leader, which its modules share."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ..core.timer import TimerService
@@ -52,7 +52,7 @@
 
     Nothing new is decided once the leader is ``resigning``, because the term would end before the
     orders could be sent. That the ``begun_jobs`` have begun isn't recorded yet.
-    ``on_steps_opened`` is called with a job of which steps have become due, and ``load_meter`` is
+    ``on_steps_opened`` is called with steps that have become due, and ``load_meter`` is
     ``None`` unless admission control is enabled.
     """
 
@@ -73,7 +73,7 @@
     failures: Failures = field(default_factory=Failures)
     lost: bool = False
     resigning: bool = False
-    on_steps_opened: Callable[[JobWork], None] = lambda work: None
+    on_steps_opened: Callable[[Iterable[StepWork]], None] = lambda steps: None
     load_meter: LoadMeter | None = None
 
     def __post_init__(self):
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -37,6 +37,7 @@
     add_run,
     copy_step_attributes,
     get_booked_need,
+    has_unopened,
     is_step_ready,
     open_due_occurrences,
     remove_run,
@@ -49,6 +50,10 @@
 # No tick decides anything while the log has not answered for this long, because the decisions could
 # not be carried out.
 MAX_RECORD_DELAY_S = 0.4
+# How many steps of all jobs with occurrences that aren't open yet may be open and ready, and how
+# many of each one may be in any case. They are planned anew in each tick.
+MAX_READY_STEPS = 300
+MIN_READY_STEPS = 20
 # The delay before a failed request to the advice service is retried.
 ADVICE_RETRY_S = 0.1
 # One node in so many may ask about steps that are too late to be of use, but at least some nodes of
@@ -80,8 +85,10 @@
     if features.fair_share:
         call("shares", "", sample_use, state.shares, state.fleet, now_s)
     steps = []
+    unopened = sum(map(has_unopened, state.open_jobs.values()))
+    max_ready = max(MIN_READY_STEPS, MAX_READY_STEPS // max(1, unopened))
     for work in state.open_jobs.values():
-        steps += call("open", work.job.id, _list_ready, state, work, now_s, wall_s) or ()
+        steps += call("open", work.job.id, _list_ready, state, work, now_s, wall_s, max_ready) or ()
     if not steps and features.fair_share:
         clear_over_share(state.shares)
         _log_share_changes(state)
@@ -128,14 +135,23 @@
         state.order_sender.spawn(await_and_log_errors(_ask_advice(state, step, service)))
 
 
-def _list_ready(state: TermState, work: JobWork, now_s: float, wall_s: float) -> list[StepWork]:
-    """Opens what has become due of a job, and returns its steps that can start."""
-    if work.occurrences < max(1, work.job.spec.repeats):
-        if open_due_occurrences(work, wall_s):
-            state.on_steps_opened(work)
+def _list_ready(
+    state: TermState, work: JobWork, now_s: float, wall_s: float, max_ready: int
+) -> list[StepWork]:
+    """Opens what has become due of a job, and returns its steps that can start.
+
+    Of a long backlog of occurrences, only the first ones are open at a time. They need the same as
+    those after them, so these could not start before them.
+    """
     if now_s < work.ready_s or not work.is_recordable:
         return []
-    return [step for step in work.steps.values() if is_step_ready(step)]
+    ready = [step for step in work.steps.values() if is_step_ready(step)]
+    if has_unopened(work) and len(ready) < max_ready:
+        opened = open_due_occurrences(work, wall_s, max_ready - len(ready))
+        if opened:
+            state.on_steps_opened(opened)
+        ready += opened
+    return ready
 
 
 def _log_share_changes(state: TermState):
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -1,9 +1,19 @@
 """The leader's in-memory state of each open job: its waiting, running and completed tasks."""
 
+import math
 from dataclasses import dataclass, field
 
 from ..core.resource import Resources
-from ..jobs.data import Job, JobState, Progress, RunRecord, StepKey, StepProgress, StepSpec
+from ..jobs.data import (
+    Job,
+    JobState,
+    Progress,
+    RunRecord,
+    StepKey,
+    StepProgress,
+    Steps,
+    StepSpec,
+)
 from ..jobs.progressparts import ProgressPart
 from .expectation import ChainEstimate, Expectation, expect_by_estimate
 from .fleet import Run
@@ -93,6 +103,8 @@
 class JobWork:
     """The state of a job with its steps by occurrence and number.
 
+    ``steps`` holds the occurrences that have been opened and aren't done. All before
+    ``done_before`` are done, and of later ones ``closed`` holds the progress of their steps.
     ``due_s`` is when it should be done, which is ``target_s`` after it was accepted. No task of it
     starts before ``ready_s``. A ``surplus`` job was submitted beyond its team's share. ``parts``
     are the parts in which its progress is recorded; no task starts once it isn't recordable. None
@@ -103,6 +115,8 @@
     state: JobState
     steps: dict[tuple[int, int], StepWork] = field(default_factory=dict)
     occurrences: int = 0
+    done_before: int = 0
+    closed: Steps = field(default_factory=dict)
     due_s: float = 0.0
     target_s: float = 0.0
     ready_s: float = 0.0
@@ -119,10 +133,12 @@
     """
     work = JobWork(job, progress.state)
     work.parts = parts or work.parts
+    work.done_before = work.occurrences = progress.done_before
     for occurrence, _ in progress.steps:
         work.occurrences = max(work.occurrences, occurrence + 1)
-    for occurrence in range(work.occurrences):
+    for occurrence in range(work.done_before, work.occurrences):
         _open_occurrence(work, occurrence, progress)
+        close_if_done(work, occurrence)
     work.target_s = compute_target_s(job)
     work.due_s = job.accepted_s + work.target_s
     return work
@@ -148,20 +164,63 @@
     return job.queue.stretch * max(lengths, default=0.0) + job.queue.latency_s
 
 
-def open_due_occurrences(work: JobWork, now_s: float) -> bool:
-    """Creates the steps of the occurrences that have become due; returns whether any were."""
-    spec, opened = work.job.spec, False
-    total = max(1, spec.repeats)
-    while work.occurrences < total:
-        if spec.repeats and now_s < spec.first_due_s + work.occurrences * spec.interval_s:
+def open_due_occurrences(
+    work: JobWork, now_s: float, max_ready: int | None = None
+) -> list[StepWork]:
+    """Creates the steps of the occurrences that have become due, and returns those that are ready.
+
+    No more occurrences are opened once ``max_ready`` of the new steps are ready.
+    """
+    ready: list[StepWork] = []
+    for _ in range(count_unopened(work, now_s)):
+        if max_ready is not None and len(ready) >= max_ready:
             break
-        _open_occurrence(work, work.occurrences, Progress())
+        steps = _open_occurrence(work, work.occurrences, Progress())
         work.occurrences += 1
-        opened = True
-    return opened
+        ready += [step for step in steps if is_step_ready(step)]
+    return ready
+
+
+def has_unopened(work: JobWork) -> bool:
+    """Returns whether some occurrences have not been opened, due or not."""
+    return work.occurrences < max(1, work.job.spec.repeats)
+
 
+def count_unopened(work: JobWork, now_s: float) -> int:
+    """Returns how many occurrences are due and have not been opened."""
+    spec = work.job.spec
+    if not spec.repeats:
+        return 1 - work.occurrences
+    due = spec.repeats
+    if spec.interval_s > 0:
+        due = math.floor((now_s - spec.first_due_s) / spec.interval_s) + 1
+    elif now_s < spec.first_due_s:
+        due = 0
+    return max(0, min(spec.repeats, due) - work.occurrences)
 
-def _open_occurrence(work: JobWork, occurrence: int, progress: Progress):
+
+def close_if_done(work: JobWork, occurrence: int):
+    """Drops the steps of an occurrence that is done, of a job with several.
+
+    So what a job costs depends on what of it is open, and not on what is done.
+    """
+    if not work.job.spec.repeats:
+        return
+    numbers = range(len(work.job.spec.steps))
+    if not all(is_step_done(work.steps[occurrence, number]) for number in numbers):
+        return
+    for number in numbers:
+        step = work.steps.pop((occurrence, number))
+        kept = StepProgress(step.step_progress.last_run, step.step_progress.done)
+        work.closed[occurrence, number] = kept
+    while (work.done_before, 0) in work.closed:
+        for number in numbers:
+            del work.closed[work.done_before, number]
+        work.done_before += 1
+
+
+def _open_occurrence(work: JobWork, occurrence: int, progress: Progress) -> list[StepWork]:
+    steps = []
     for number, spec in enumerate(work.job.spec.steps):
         step_progress = progress.steps.get((occurrence, number)) or StepProgress()
         if spec.gang:
@@ -169,6 +228,8 @@
         step = StepWork(StepKey(work.job.id, occurrence, number), spec, step_progress, work)
         step.waiting = set(range(spec.count)) - step_progress.done
         work.steps[occurrence, number] = step
+        steps.append(step)
+    return steps
 
 
 def _equalize_gang(spec: StepSpec, step_progress: StepProgress):
@@ -200,9 +261,7 @@
 
 def is_job_done(work: JobWork) -> bool:
     """Returns whether every task of every occurrence has ended as done."""
-    if work.occurrences < max(1, work.job.spec.repeats):
-        return False
-    return all(is_step_done(step) for step in work.steps.values())
+    return not has_unopened(work) and all(is_step_done(step) for step in work.steps.values())
 
 
 def get_booked_need(spec: StepSpec) -> Resources:
@@ -269,7 +328,7 @@
 
 def snapshot_progress(work: JobWork) -> Progress:
     """Returns the progress of a job to record, with every run whose end isn't known."""
-    progress = Progress(work.state)
+    progress = Progress(work.state, dict(work.closed), work.done_before)
     for place, step in work.steps.items():
         step_progress = step.step_progress
         step_progress.runs = [
--- a/caroblead/jobs/data.py
+++ b/caroblead/jobs/data.py
@@ -168,10 +168,14 @@
 
 @dataclass(slots=True)
 class Progress:
-    """The mutable part of a job: everything known about it beyond its specification."""
+    """The mutable part of a job: everything known about it beyond its specification.
+
+    All occurrences before ``done_before`` are done, and ``steps`` holds nothing of them.
+    """
 
     state: JobState = JobState.QUEUED
     steps: Steps = field(default_factory=dict)
+    done_before: int = 0
 
 
 @dataclass(slots=True, eq=False)
--- a/caroblead/jobs/progressparts.py
+++ b/caroblead/jobs/progressparts.py
@@ -29,6 +29,7 @@
     encode_final_state,
     encode_row,
     encode_state,
+    list_marks,
 )
 from .record import KeyedRecord, RecordKind, compress, make_key
 
@@ -98,7 +99,8 @@
 
     No record is larger than ``max_bytes``. ``parts`` is updated: it holds the parts of the job as
     they are once the records are stored. For a final state, only the state and the time are kept,
-    and the records of all other parts are dropped.
+    and the records of all other parts are dropped. So are parts of which all occurrences are before
+    ``progress.done_before``, after the first part has recorded that.
     """
     if progress.state in FINAL_STATES:
         final = KeyedRecord(
@@ -107,11 +109,25 @@
         tombstones = make_part_tombstones(job_id, [part.start for part in parts])
         parts[:] = [ProgressPart()]
         return [final, *tombstones]
-    encoder = _PartEncoder(job_id, progress.state, min(max_bytes, MAX_PART_BYTES), len(parts) > 1)
+    is_divided = len(parts) > 1
+    past = _take_past_parts(parts, progress.done_before)
+    encoder = _PartEncoder(job_id, progress, min(max_bytes, MAX_PART_BYTES), is_divided)
     slices = _slice_steps(progress.steps, parts)
     found = [encoder.encode(part, steps) for part, steps in zip(parts, slices, strict=True)]
     parts[:] = [part for group in found for part in group]
-    return encoder.records
+    return encoder.records + make_part_tombstones(job_id, past)
+
+
+def _take_past_parts(parts: list[ProgressPart], done_before: int) -> list[TaskPlace]:
+    """Removes the parts, but for the first, that end before an occurrence; returns their starts."""
+    ends = [part.start for part in parts[1:]]
+    past = [
+        part.start
+        for part, end in zip(parts[1:], ends[1:], strict=False)
+        if end <= TaskPlace(done_before, 0, 0)
+    ]
+    parts[:] = [part for part in parts if part.start not in past]
+    return past
 
 
 class _PartEncoder:
@@ -120,16 +136,17 @@
     ``records`` are those to append so far.
     """
 
-    def __init__(self, job_id: str, state: JobState, max_bytes: int, is_divided: bool):
+    def __init__(self, job_id: str, progress: Progress, max_bytes: int, is_divided: bool):
         self.job_id = job_id
-        self.state = state
+        self.state = progress.state
+        self.marks = list_marks(progress)
         self.max_bytes = max_bytes
         self.is_divided = is_divided
         self.records: list[KeyedRecord] = []
 
     def encode(self, part: ProgressPart, steps: Steps) -> list[ProgressPart]:
         """Encodes a part, and returns the parts into which it was divided, or itself alone."""
-        rows = _make_rows(part, steps, self.state, self.is_divided)
+        rows = self._make_rows(part, steps)
         if self.is_divided and rows == part.written:
             return [part]
         text = orjson.dumps(rows)
@@ -171,18 +188,20 @@
         """Returns the record of a single task whose checkpoint doesn't fit into any record."""
         log("job:checkpoint_left_out", job=self.job_id, task=str(part.start))
         bare = {place: replace(item, checkpoints={}) for place, item in steps.items()}
-        return self._make_record(
-            part, orjson.dumps(_make_rows(part, bare, self.state, self.is_divided))
-        )
+        return self._make_record(part, orjson.dumps(self._make_rows(part, bare)))
+
+    def _make_rows(self, part: ProgressPart, steps: Steps) -> list:
+        return _make_rows(part, steps, self.state, self.is_divided, self.marks)
 
 
-def _make_rows(part: ProgressPart, steps: Steps, state: JobState, is_divided: bool) -> list:
-    """Returns what the record of a part holds."""
+def _make_rows(
+    part: ProgressPart, steps: Steps, state: JobState, is_divided: bool, marks: list[list]
+) -> list:
+    """Returns what the record of a part holds; ``marks`` and the state are in the first part."""
     rows = [encode_row(place, item) for place, item in steps.items()]
-    if is_divided and part.start == FIRST_PLACE:
-        # The state is in the first part only, and written with it.
-        return [[DIVIDED, str(state)], *rows]
-    return rows
+    if part.start != FIRST_PLACE:
+        return rows
+    return [*([[DIVIDED, str(state)]] if is_divided else []), *marks, *rows]
 
 
 def _find_starts(steps: Steps, pieces: int) -> list[TaskPlace]:
@@ -262,11 +281,14 @@
     ]
     if others:
         for part, steps in zip(parts, written, strict=True):
-            part.written = _make_rows(part, steps, progress.state, True)
+            part.written = _make_rows(part, steps, progress.state, True, list_marks(progress))
         progress.steps = {}
         for number, steps in enumerate(written):
             for place, piece in _slice_steps(steps, parts)[number].items():
                 _merge(progress.steps.setdefault(place, StepProgress()), piece)
+    for place in [place for place in progress.steps if place[0] < progress.done_before]:
+        # A part that has not been written since.
+        del progress.steps[place]
     return progress, parts
 
 
--- a/caroblead/jobs/progressparts_test.py
+++ b/caroblead/jobs/progressparts_test.py
@@ -214,3 +214,44 @@
     assert make_part_key("a1", FIRST_PLACE) == "p/a1"
     with pytest.raises(ValueError):
         parse_part_name("a1/2.1")
+
+
+def list_done(progress, occurrences):
+    """Returns the occurrences of a job of one task each that are done by its progress."""
+    later = {place[0] for place, item in progress.steps.items() if item.done}
+    return {number for number in range(occurrences) if number < progress.done_before} | later
+
+
+# A reader that misses that an occurrence is done, whichever records it has read, runs it again.
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.integers(0, 9999), st.integers(0, 100))
+def test_reader_between_two_appends_knows_all_that_is_done_of_a_job_with_occurrences(seed, percent):
+    rng, occurrences = random.Random(seed), 60
+    log, parts, done, before = Log(), [ProgressPart()], set(), set()
+    while len(done) < occurrences:
+        for _ in range(rng.randint(1, 8)):
+            left = sorted(set(range(occurrences)) - done) or [0]
+            done |= set(left[: rng.randint(1, 2)] if rng.random() < 0.7 else rng.sample(left, 1))
+        done_before = min(set(range(occurrences + 1)) - done)
+        steps = {(n, 0): StepProgress(1, {0}) for n in sorted(done) if n >= done_before}
+        for number in range(done_before, min(occurrences, done_before + 12)):
+            text = make_text(200, f"{seed}/{number}/{len(done)}")
+            steps.setdefault((number, 0), StepProgress(1, checkpoints={0: text}))
+        after = Progress(JobState.RUNNING, dict(sorted(steps.items())), done_before)
+        records = encode_parts("a", after, parts, MAX_BYTES, 1.0)
+        cut = len(records) * percent // 100
+        log.store(records[:cut])
+        assert before <= list_done(log.read()[0], occurrences) <= done
+        log.store(records[cut:])
+        found, found_parts = log.read()
+        assert list_done(found, occurrences) == done and found.done_before == done_before
+        assert [part.start for part in found_parts] == [part.start for part in parts]
+        before = set(done)
+    assert len(parts) < 3
+
+
+def test_build_that_knows_no_occurrences_without_rows_can_not_read_the_first_part():
+    progress = Progress(JobState.RUNNING, {(7, 0): StepProgress(1)}, 7)
+    (record,) = encode_parts("a", progress, [ProgressPart()], MAX_BYTES, 1.0)
+    rows = decompress_json(record.value[1:])
+    assert rows[0] == ["done_before", 7] and len(rows[0]) < 7
--- a/caroblead/jobs/progressrecord.py
+++ b/caroblead/jobs/progressrecord.py
@@ -31,6 +31,9 @@
 # state precedes the others. A build that doesn't know of parts can't decode it, and leaves the job
 # alone instead of starting the tasks of the other parts again.
 DIVIDED = "divided"
+# A row with this name and a number tells that all occurrences before are done. They have no rows. A
+# build that doesn't know of it leaves the job alone, too.
+DONE_BEFORE = "done_before"
 
 
 def encode_state(state: JobState) -> bytes:
@@ -48,7 +51,12 @@
     if progress.state in FINAL_STATES:
         return encode_final_state(progress.state, at_s)
     rows = [encode_row(*item) for item in progress.steps.items()]
-    return encode_state(progress.state) + compress_json(rows)
+    return encode_state(progress.state) + compress_json(list_marks(progress) + rows)
+
+
+def list_marks(progress: Progress) -> list[list]:
+    """Returns the rows that precede those of the steps in the first part of a job's progress."""
+    return [[DONE_BEFORE, progress.done_before]] if progress.done_before else []
 
 
 def encode_row(place: StepPlace, step_progress: StepProgress) -> list:
@@ -93,14 +101,20 @@
     progress = Progress(read_state(value))
     if progress.state in FINAL_STATES:
         return progress
-    progress.steps = decode_steps(value)
+    rows = decompress_json(value[1:])
+    progress.steps = _decode_rows(rows)
+    progress.done_before = next((row[1] for row in rows if row[0] == DONE_BEFORE), 0)
     return progress
 
 
 def decode_steps(value: bytes) -> Steps:
     """Decodes the progress of the steps in a progress record of a job that hasn't ended."""
-    rows = decompress_json(value[1:])
-    return {(row[0], row[1]): _decode_row(*row[2:]) for row in rows if row[0] != DIVIDED}
+    return _decode_rows(decompress_json(value[1:]))
+
+
+def _decode_rows(rows: list[list]) -> Steps:
+    marks = (DIVIDED, DONE_BEFORE)
+    return {(row[0], row[1]): _decode_row(*row[2:]) for row in rows if row[0] not in marks}
 
 
 def _decode_row(last_run, done, failures, runs, checkpoints, extras=None) -> StepProgress:
