--- a/caroblead/dispatch/advice/advicesize_test.py
+++ b/caroblead/dispatch/advice/advicesize_test.py
@@ -11,7 +11,7 @@
 from ..planning import plan_starts
 from ..planning_test import NOW_S, make_fleet, make_steps
 from ..rank import Tier
-from ..tick import MAX_VMS_PER_REQUEST, store_answer
+from .advicerequest import MAX_VMS_PER_REQUEST, store_answer
 from .advicesize import (
     MIN_VMS_PER_REQUEST,
     AdviceShares,
--- a/caroblead/dispatch/evacuation_test.py
+++ b/caroblead/dispatch/evacuation_test.py
@@ -6,6 +6,7 @@
 
 from ..core.resource import Resources
 from ..jobs.data import AdviceTimes, JobQueue, StepSpec
+from .advice.advicerequest import choose_vms_to_ask
 from .evacuation import (
     EvacuationState,
     ZoneReading,
@@ -19,7 +20,6 @@
 from .fleet import Reservation, Run, RunPhase, book_run
 from .interface import Configuration, TaskName
 from .planning_test import NOW_S, make_fleet, make_steps, plan
-from .tick import choose_vms_to_ask
 from .work import StepAdvice
 
 BOUND_S = 5.0
--- a/caroblead/dispatch/tick_test.py
+++ b/caroblead/dispatch/tick_test.py
@@ -1,10 +1,10 @@
 """Tests of which VMs the advice service is asked about."""
 
 from ..core.resource import Resources
+from .advice.advicerequest import MAX_VMS_PER_REQUEST, choose_vms_to_ask, store_answer
 from .fleet import Run, book_run, release_run
 from .interface import TaskName
 from .planning_test import make_fleet
-from .tick import MAX_VMS_PER_REQUEST, choose_vms_to_ask, store_answer
 from .work import StepAdvice
 
 NEED = Resources(1000, 2000)
--- a/caroblead/node/loop_test.py
+++ b/caroblead/node/loop_test.py
@@ -6,6 +6,7 @@
 import asyncio
 
 from ..dispatch import tick
+from ..dispatch.advice import advicerequest
 from ..dispatch.watch import Watch
 from ..jobs.data import JobState
 from ..jobs.ledger import find_state
@@ -79,7 +80,7 @@
 
 
 def test_error_in_a_request_for_advice_does_not_leave_its_step_waiting(monkeypatch):
-    fail_every_third_call(monkeypatch, tick, "choose_vms_to_ask")
+    fail_every_third_call(monkeypatch, advicerequest, "choose_vms_to_ask")
 
     async def scenario():
         site = await start_site()
--- a/caroblead/node/overload_test.py
+++ b/caroblead/node/overload_test.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ..dispatch import tick
+from ..dispatch.advice import advicerequest
 from ..dispatch.interface import Advice
 from ..jobs.data import JobState
 from ..jobs.ledger import find_state
@@ -74,7 +74,7 @@
 def test_error_in_a_sized_request_does_not_leave_its_step_waiting(monkeypatch):
     """Guards against a step that stays pending after an unexpected error."""
     enable(monkeypatch, sized_advice=True)
-    original, calls = tick.choose_vms_for_step, []
+    original, calls = advicerequest.choose_vms_for_step, []
 
     def fail_at_first(*arguments):
         calls.append(1)
@@ -82,7 +82,7 @@
             raise RuntimeError("an error that nobody expected")
         return original(*arguments)
 
-    monkeypatch.setattr(tick, "choose_vms_for_step", fail_at_first)
+    monkeypatch.setattr(advicerequest, "choose_vms_for_step", fail_at_first)
 
     async def scenario():
         site = await start_site()
--- a/caroblead/standin/overload.py
+++ b/caroblead/standin/overload.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..core.resource import Resources
+from ..dispatch.advice.advicerequest import choose_vms_to_ask, store_answer
 from ..dispatch.advice.advicesize import (
     AdviceShares,
     choose_vms_for_step,
@@ -26,7 +27,6 @@
 from ..dispatch.planning import plan_starts
 from ..dispatch.rank import find_tier, take_share_token
 from ..dispatch.share import ShareTable, sample_use
-from ..dispatch.tick import choose_vms_to_ask, store_answer
 from ..dispatch.work import (
     JobWork,
     StepWork,
