--- a/caroblead/dispatch/backlog_test.py
+++ b/caroblead/dispatch/backlog_test.py
@@ -9,6 +9,7 @@
 from ..jobs.data import Job, JobQueue, JobSpec, JobState, Progress, StepSpec
 from ..jobs.ledger import find_state
 from ..standin.cluster import (
+    CAPACITY,
     find_leader,
     kill_node,
     run_scenario,
@@ -155,3 +156,30 @@
         return site
 
     assert check_site(run_scenario(scenario)) == []
+
+
+# A new leader left out a job of which an occurrence was done behind one that wasn't.
+def test_new_leader_takes_over_a_job_whose_occurrences_are_done_out_of_order():
+    async def scenario():
+        site = await start_site(vm_count=2)
+        site.vm_simulator.set_speed("vm-0", 0.1)
+        whole_vm = make_step(1, need=Resources(CAPACITY.millicores, 100))
+        spec = replace(make_spec(whole_vm, seconds=0.5), repeats=8, first_due_s=get_wall_s())
+        job = await submit(site, "n0", spec)
+        await asyncio.sleep(3.0)
+        (work,) = site.nodes[find_leader(site)].leader.state.open_jobs.values()
+        assert work.closed and work.done_before < max(work.closed)[0]
+        await kill_node(site, find_leader(site))
+        await asyncio.sleep(12.0)
+        leader = await wait_for_leader(site)
+        assert find_state(site.nodes[leader].ledger, job) is JobState.DONE
+        return site
+
+    assert check_site(run_scenario(scenario)) == []
+
+
+# The steps after the first one of an occurrence went without learned durations for up to a second.
+def test_steps_that_wait_for_others_are_among_those_that_are_opened():
+    work = make_work(steps=CHAIN)
+    opened = open_due_occurrences(work, OVERDUE, 10)
+    assert len(opened) == 20 and {step.key.step for step in opened} == {0, 1}
--- a/caroblead/dispatch/fleet.py
+++ b/caroblead/dispatch/fleet.py
@@ -12,7 +12,7 @@
 from .interface import ListedVm, Target, TaskName
 from .learning.speed import SpeedTable
 
-# The fences of a term. A VM tells by them a call for a former incarnation from one for this.
+# The fencing tokens of a term. Each incarnation of a VM is called with one of its own.
 FENCES_PER_TERM = 1_000_000
 # A VM that has not answered for this long gets no new tasks.
 SILENT_AFTER_S = 1.3
@@ -194,6 +194,7 @@
     No task starts in the ``evacuated_zones``, and no start order sent now may be carried out later
     than ``start_until_s``. ``speeds`` holds the learned speeds of the VMs, ``None`` if they are not
     learned.
+    ``fences`` counts the fences that have been given out in this term.
     ``lapsed_holds`` counts how often a step has had to give up reservations that it couldn't use,
     and ``backfilled_runs`` the runs started on VMs that were reserved for another step. In the last
     tick, quota was kept for ``steps_keeping_quota``.
@@ -205,6 +206,7 @@
     term_began_s: float = 0.0
     lease_s: float = 8.0
     longest_lease_s: float = 10.0
+    fences: int = 0
     reservations: dict[str, "Reservation"] = field(default_factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     start_until_s: float = float("inf")
@@ -214,12 +216,21 @@
     steps_keeping_quota: int = 0
 
 
+def take_fence(fleet: Fleet) -> int:
+    """Returns a fencing token that is higher than all before, in this term and former ones.
+
+    A VM that comes back into the table gets a new one too, since its former row is forgotten.
+    """
+    fence = fleet.term * FENCES_PER_TERM + fleet.fences
+    fleet.fences = min(fleet.fences + 1, FENCES_PER_TERM - 1)
+    return fence
+
+
 def put_vm(fleet: Fleet, listed: ListedVm) -> VmRow:
     """Adds a VM, or updates it from its entry in the registry."""
     row = fleet.rows.get(listed.name)
     if row is None:
-        fence = fleet.term * FENCES_PER_TERM
-        row = VmRow(listed.name, listed, listed.incarnation, listed.capacity, fence)
+        row = VmRow(listed.name, listed, listed.incarnation, listed.capacity, take_fence(fleet))
         fleet.rows[listed.name] = row
         return row
     if listed.capacity != row.listed.capacity:
--- a/caroblead/dispatch/leader.py
+++ b/caroblead/dispatch/leader.py
@@ -156,7 +156,10 @@
         progress, parts = decode_parts(encoded_progress, others)
         work = self._open_job(job, progress, parts)
         for (occurrence, number), step_progress in progress.steps.items():
-            step = work.steps[occurrence, number]
+            step = work.steps.get((occurrence, number))
+            if step is None:
+                # Its occurrence is done.
+                continue
             if step_progress.crashes:
                 self.state.crash_table.suspects[step.key] = step
             for record in step_progress.runs:
@@ -253,7 +256,7 @@
         log("vm:started_again", vm=row.name, incarnation=incarnation, runs=len(row.runs))
         last_list_s = row.heard_s
         self._note_crash(row, incarnation)
-        reset_incarnation(row, incarnation, get_elapsed_s())
+        reset_incarnation(self.fleet, row, incarnation, get_elapsed_s())
         for run in list_gone(row, last_list_s):
             self.on_gone(run, "its VM has restarted")
         expect_late_orders(self.state, row)
--- a/caroblead/dispatch/lease.py
+++ b/caroblead/dispatch/lease.py
@@ -11,7 +11,7 @@
   once its VM has listed it, or has answered its order with a reading of that clock.
 """
 
-from .fleet import FENCES_PER_TERM, FULL_PACE, Fleet, Run, RunPhase, VmRow
+from .fleet import FULL_PACE, Fleet, Run, RunPhase, VmRow, take_fence
 
 # The fraction by which the clock of a VM may be slow.
 CLOCK_DRIFT = 0.02
@@ -96,11 +96,10 @@
     return now_s - since_s > wait_s
 
 
-def reset_incarnation(row: VmRow, incarnation: int, now_s: float):
+def reset_incarnation(fleet: Fleet, row: VmRow, incarnation: int, now_s: float):
     """Resets the lease of a VM that has restarted; the caller must end its runs."""
     row.incarnation = incarnation
-    if (row.fence + 1) % FENCES_PER_TERM:
-        row.fence += 1
+    row.fence = take_fence(fleet)
     row.clock_ms = row.deadline_ms = row.seen = row.unknown_runs = 0
     row.clock_at_s = row.heard_s = row.doubted_s = row.granted_s = 0.0
     for run in row.runs.values():
--- a/caroblead/dispatch/lease_test.py
+++ b/caroblead/dispatch/lease_test.py
@@ -54,8 +54,11 @@
     fleet, row = make_row()
     fences = [row.fence]
     for incarnation in (2, 3):
-        reset_incarnation(row, incarnation, 101.0)
+        reset_incarnation(fleet, row, incarnation, 101.0)
         fences.append(row.fence)
+    # The VM leaves the table and comes back: it may have seen the last fence of its former row.
+    del fleet.rows[row.name]
+    fences.append(put_vm(fleet, row.listed).fence)
     later = put_vm(Fleet(term=fleet.term + 1), row.listed)
     assert sorted({*fences, later.fence}) == [*fences, later.fence]
 
--- a/caroblead/dispatch/restart_test.py
+++ b/caroblead/dispatch/restart_test.py
@@ -149,8 +149,8 @@
 class RestartedMeanwhile:
     """Reports of a watch whose VM restarts while the ends that it has listed are recorded."""
 
-    def __init__(self, row):
-        self.row = row
+    def __init__(self, fleet, row):
+        self.fleet, self.row = fleet, row
 
     def on_end(self, row, ended):
         pass
@@ -159,7 +159,7 @@
         pass
 
     async def wait_recorded(self, timeout_s):
-        reset_incarnation(self.row, self.row.incarnation + 1, 0.0)
+        reset_incarnation(self.fleet, self.row, self.row.incarnation + 1, 0.0)
         return True
 
 
@@ -168,7 +168,7 @@
     async def scenario():
         fleet = Fleet()
         row = put_vm(fleet, ListedVm("v", 1, "s", "a:1", "z", "r", (), CAPACITY, False))
-        watch = Watch(fleet, row, None, None, RestartedMeanwhile(row))
+        watch = Watch(fleet, row, None, None, RestartedMeanwhile(fleet, row))
         ended = EndedTask(7, TaskName("a", 0, 0, 0), 1, EndReason.DONE, "")
         await watch._handle_lists(HoldAnswer(1000, 1, [], [ended]), 0.0)
         assert (row.incarnation, row.seen) == (2, 0)
--- a/caroblead/dispatch/sweep.py
+++ b/caroblead/dispatch/sweep.py
@@ -50,9 +50,11 @@
         state = self.state
         if not row.runs or not is_lease_expired(state.fleet, row, now_s):
             return
-        silent_s = round(now_s - (row.heard_s or state.fleet.term_began_s), 3)
-        log("vm:lapsed", vm=row.name, runs=len(row.runs), silent_s=silent_s)
         expired = list_expired_runs(state.fleet, row, now_s)
+        if not expired:
+            return
+        silent_s = round(now_s - (row.heard_s or state.fleet.term_began_s), 3)
+        log("vm:lapsed", vm=row.name, runs=len(expired), silent_s=silent_s)
         if not row.in_registry and not row.listed.draining:
             self.record(note_loss(state.crash_table, state.open_jobs, row, expired))
         for run in expired:
--- a/caroblead/dispatch/tick.py
+++ b/caroblead/dispatch/tick.py
@@ -131,7 +131,7 @@
         opened = open_due_occurrences(work, wall_s, max_ready - len(ready))
         if opened:
             state.on_steps_opened(opened)
-        ready += opened
+        ready += [step for step in opened if is_step_ready(step)]
     return ready
 
 
--- a/caroblead/dispatch/work.py
+++ b/caroblead/dispatch/work.py
@@ -167,18 +167,20 @@
 def open_due_occurrences(
     work: JobWork, now_s: float, max_ready: int | None = None
 ) -> list[StepWork]:
-    """Creates the steps of the occurrences that have become due, and returns those that are ready.
+    """Creates the steps of the occurrences that have become due, and returns them.
 
     No more occurrences are opened once ``max_ready`` of the new steps are ready.
     """
-    ready: list[StepWork] = []
+    opened: list[StepWork] = []
+    ready = 0
     for _ in range(count_unopened(work, now_s)):
-        if max_ready is not None and len(ready) >= max_ready:
+        if max_ready is not None and ready >= max_ready:
             break
         steps = _open_occurrence(work, work.occurrences, Progress())
         work.occurrences += 1
-        ready += [step for step in steps if is_step_ready(step)]
-    return ready
+        opened += steps
+        ready += sum(map(is_step_ready, steps))
+    return opened
 
 
 def has_unopened(work: JobWork) -> bool:
