--- a/caroblead/node/trial_test.py
+++ b/caroblead/node/trial_test.py
@@ -25,13 +25,16 @@
 REFUSED_ORDER_RUNS_BESIDE = ((602, 2), (1013, 3), (1037, 3), (1051, 3), (1074, 3), (1123, 3))
 
 
+def judge(outcome, least_starts=50):
+    assert outcome.problems == [], outcome.faults
+    assert outcome.starts > least_starts
+
+
 @pytest.mark.parametrize(
     "seed", [*SEEDS, *TERM_LED_TWICE, *ANSWERED_BY_NEXT_INCARNATION, *GANG_FAILURE_COUNTED_TWICE]
 )
 def test_trial_keeps_every_guarantee(seed):
-    outcome = run_trial(seed)
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 50
+    judge(run_trial(seed))
 
 
 @pytest.mark.parametrize(
@@ -44,44 +47,32 @@
     ],
 )
 def test_trial_with_crashing_jobs_keeps_every_guarantee(seed, crashing_jobs):
-    outcome = run_trial(seed, crashing_jobs)
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 50
+    judge(run_trial(seed, crashing_jobs))
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_trial_with_evacuated_zones_keeps_every_guarantee(seed):
-    outcome = run_trial(seed, evacuations=4)
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 50
+    judge(run_trial(seed, evacuations=4))
 
 
 @pytest.mark.parametrize("seed", EARLY_CANCEL_SEEDS)
 def test_trial_with_jobs_cancelled_while_they_may_still_be_stored_keeps_every_guarantee(seed):
-    outcome = run_trial(seed, early_cancels=10)
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 50
+    judge(run_trial(seed, early_cancels=10))
 
 
 # The progress of most jobs with checkpoints takes several records.
 @pytest.mark.parametrize("seed", range(6))
 def test_trial_with_checkpoints_that_exceed_a_record_keeps_every_guarantee(seed):
-    outcome = run_trial(seed, checkpoint_length=4000, limits=LogLimits(3000, 12_000))
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 50
+    judge(run_trial(seed, checkpoint_length=4000, limits=LogLimits(3000, 12_000)))
 
 
 # A VM held the longest lease by the clock of its former incarnation, and was cut off (9007, 9048).
 @pytest.mark.parametrize("seed", [9007, 9048, *range(4)])
 def test_trial_with_vms_that_restart_and_are_cut_off_keeps_every_guarantee(seed):
-    outcome = run_trial(seed, restarts=3)
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 50
+    judge(run_trial(seed, restarts=3))
 
 
 # The records of what is done of the schedule take several records, and more than one leader.
 @pytest.mark.parametrize("seed", range(4))
 def test_trial_with_a_backlog_of_overdue_occurrences_keeps_every_guarantee(seed):
-    outcome = run_trial(seed, overdue=300, limits=LogLimits(3000, 12_000))
-    assert outcome.problems == [], outcome.faults
-    assert outcome.starts > 300
+    judge(run_trial(seed, overdue=300, limits=LogLimits(3000, 12_000)), 300)
