--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -303,12 +303,15 @@
     """Plays a case and exits: 1 if its rule was broken, 0 if it held, 2 if it couldn't run."""
 
     async def main():
-        site = None
+        # A case that is told to end also ends what it has started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115):
-                site, broken, verdict = await play(os.environ.get("TROUBLE", "1") != "0")
+                _, broken, verdict = await play(os.environ.get("TROUBLE", "1") != "0")
             return 1 if broken else 0, verdict
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             return 2, f"the case couldn't run: {type(error).__name__}: {error}"
 
     status, verdict = asyncio.run(main())
